--- /dev/null
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -0,0 +1,503 @@
+package gorsestack.decision;
+
+import gorsestack.decision.Settings.Product;
+import gorsestack.decision.Settings.Repeat;
+import gorsestack.decision.Settings.Scope;
+import gorsestack.decision.Upstreams.Entry;
+import gorsestack.decision.Upstreams.Form;
+import gorsestack.decision.Upstreams.State;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.zip.CRC32;
+
+/**
+ * All decisions of one balancer. Make one for each balancer, tell it whatever happens through the public methods,
+ * with the clock in nanoseconds, never going back; it acts through Outgoing before the method returns. Settings,
+ * Upstreams and Outcome say what goes in, Outgoing what comes out; all four stand in this package and know no protocol.
+ * Each input touches some API calls; for each of those the rules in RULES are gone through in order, again and again,
+ * until none fires. docs/design.md tells what is kept of the design and when each departure acts.
+ */
+public final class Choice {
+
+    private static final class Call {
+        String id;
+        long token;
+        Product product;
+        long end;
+        int most;
+        long patience;
+        long next;
+        long wakeAt = Long.MAX_VALUE;
+        int shots;
+        int out;
+        boolean ended;
+        int[] to = new int[2];
+        long[] at = new long[2];
+        boolean[] open = new boolean[2];
+        boolean[] neverRan = new boolean[2];
+
+        /** The first shot that may have run or is out, -1 if there is none. */
+        int anchor() {
+            for (int i = 0; i < shots; i++) {
+                if (!neverRan[i]) {
+                    return i;
+                }
+            }
+            return -1;
+        }
+    }
+
+    private record Rule(Predicate<Call> when, Consumer<Call> then) { }
+
+    private final Settings settings;
+    private final Settings.Limits limit;
+    private final Outgoing out;
+    private final Map<String, Product> products = new HashMap<>();
+    private final Map<String, Call> calls = new HashMap<>();
+    private final Map<Long, Call> byToken = new HashMap<>();
+    private final CRC32 crc = new CRC32();
+    private final long seed;
+    private long draws;
+    private long tokens;
+    private long now;
+
+    // Upstreams, under an index that an id keeps for good.
+    private final Map<String, Integer> index = new HashMap<>();
+    private Entry[] entry = new Entry[16];
+    private int[] group = new int[16];
+    private int[] inFlight = new int[16];
+    private int[] straightFailures = new int[16];
+    private boolean[] sick = new boolean[16];
+    private double[] carried = new double[16];
+    private long[] carriedAt = new long[16];
+    private long[] coldNext = new long[16];
+
+    // Groups: the own zone, then the others in the order of the settings; last, those of no known zone.
+    private final int[][] members;
+    private final int[] cursor;
+    private final boolean[] left;
+    private final long[] wellSince;
+    private int trialCursor;
+
+    // Rule 1: one final answer before the client timeout, and nothing after it. The order matters.
+    private final Rule[] rules = {
+        new Rule(c -> now >= c.end, this::error),
+        new Rule(c -> c.shots == 0, this::shoot),
+        new Rule(c -> c.out == 0 && c.anchor() < 0 && moreMayCome(c), this::shoot),
+        new Rule(c -> c.out == 0 && !moreMayCome(c), this::giveUp),
+        new Rule(c -> now >= c.next && moreMayCome(c), this::shoot),
+    };
+
+    public Choice(Settings settings, long seed, long now, Outgoing out) {
+        this.settings = settings;
+        this.limit = settings.limits();
+        this.seed = seed;
+        this.now = now;
+        this.out = out;
+        for (Product product : settings.products()) {
+            products.put(product.name(), product);
+        }
+        int groups = settings.zones().size() + 1;
+        members = new int[groups][0];
+        cursor = new int[groups];
+        left = new boolean[groups];
+        wellSince = new long[groups];
+        for (int g = 0; g < groups; g++) {
+            cursor[g] = (int) (chance() * (1 << 20));
+        }
+        if (settings.asksForList()) {
+            // All balancers start together and the list is one small service: spread the first call over a fifth.
+            out.wake(0, now + (long) (chance() * settings.rules().askWithin() / 5));
+        }
+    }
+
+    public void upstreams(long at, Upstreams news) {
+        now = at;
+        if (news.form() == Form.FAILED) {
+            // Danger: untold of a drain for good. Asked again within the time after which it is deemed told, and
+            // spread, so that repeats don't sink the list service.
+            out.wake(0, now + (long) ((0.2 + 0.4 * chance()) * settings.rules().askWithin()));
+            return;
+        }
+        boolean whole = news.form() != Form.CHANGES;
+        boolean[] named = new boolean[entry.length + news.entries().size()];
+        for (Entry e : news.entries()) {
+            int u = learn(e);
+            named[u] = true;
+        }
+        for (int u = 0; whole && u < index.size(); u++) {
+            if (!named[u] && entry[u].state() != State.GONE) {
+                Entry e = entry[u];
+                entry[u] = new Entry(e.id(), State.GONE, e.startedAt(), e.cell(), e.weight(), e.zone());
+            }
+        }
+        for (int g = 0; g < members.length; g++) {
+            int[] ready = new int[index.size()];
+            int n = 0;
+            for (int u = 0; u < index.size(); u++) {
+                if (group[u] == g && entry[u].state() == State.READY) {
+                    ready[n++] = u;
+                }
+            }
+            members[g] = Arrays.copyOf(ready, n);
+        }
+    }
+
+    private int learn(Entry e) {
+        Integer known = index.get(e.id());
+        int u = known == null ? index.size() : known;
+        if (known == null) {
+            index.put(e.id(), u);
+            if (u == entry.length) {
+                int n = u * 2;
+                entry = Arrays.copyOf(entry, n);
+                group = Arrays.copyOf(group, n);
+                inFlight = Arrays.copyOf(inFlight, n);
+                straightFailures = Arrays.copyOf(straightFailures, n);
+                sick = Arrays.copyOf(sick, n);
+                carried = Arrays.copyOf(carried, n);
+                carriedAt = Arrays.copyOf(carriedAt, n);
+                coldNext = Arrays.copyOf(coldNext, n);
+            }
+            int zones = settings.zones().size();
+            int zone = settings.zones().indexOf(e.zone());
+            int own = Math.max(0, settings.zones().indexOf(settings.zone()));
+            group[u] = zone < 0 ? zones : (zone - own + zones) % zones;
+        }
+        if (known == null || entry[u].startedAt() != e.startedAt()) {
+            straightFailures[u] = 0;
+            sick[u] = false;
+            carried[u] = 0;
+            entry[u] = e;
+            // Rule 4: a burst at the start could spend the whole budget, so the first turn comes late and by chance.
+            coldNext[u] = isCold(u) ? now + (long) (coldInterval(u) * (0.5 + chance())) : 0;
+        }
+        entry[u] = e;
+        return u;
+    }
+
+    /** A client's call; left is the time until the client gives up, below 0 if untold. */
+    public void apiCall(long at, String id, String product, String tenant, long left, boolean retry) {
+        now = at;
+        Call c = new Call();
+        c.id = id;
+        c.token = ++tokens;
+        c.product = products.get(product);
+        if (c.product == null) {
+            out.errored(id);
+            return;
+        }
+        // Two steps early: the clock moves in steps, and the answer has to be in before the client timeout.
+        c.end = now + (left < 0 ? c.product.clientTimeout() : left) - 2 * settings.step();
+        // Two shots unless a repeat could do harm; a further one only where a second copy may be out.
+        c.most = c.product.repeat() == Repeat.NON_IDEMPOTENT ? 1 : Math.min(2, limit.mostShots());
+        c.patience = (c.end - now) / c.most;
+        calls.put(id, c);
+        byToken.put(c.token, c);
+        settle(c);
+    }
+
+    public void outcome(long at, String id, int shot, Outcome outcome, long took, boolean closed) {
+        now = at;
+        Call c = calls.get(id);
+        if (c == null || shot >= c.shots || !c.open[shot]) {
+            return;
+        }
+        int u = c.to[shot];
+        c.open[shot] = false;
+        c.neverRan[shot] = outcome.provesItNeverRan;
+        c.out--;
+        inFlight[u]--;
+        judge(u, outcome);
+        if (outcome == Outcome.FULFILLED && !c.ended) {
+            finish(c, () -> out.fulfilled(id, shot));
+        }
+        c.ended |= closed;
+        settle(c);
+    }
+
+    private void judge(int u, Outcome outcome) {
+        if (outcome == Outcome.FULFILLED) {
+            straightFailures[u] = 0;
+            sick[u] = false;
+            carried[u] = carriedNow(u) + 1;
+            carriedAt[u] = now;
+        } else if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
+            sick[u] |= ++straightFailures[u] >= 3;
+        }
+    }
+
+    /** A streamed answer has begun: the call is the client's and that shot's from here on. */
+    public void started(long at, String id, int shot) {
+        now = at;
+        Call c = calls.get(id);
+        if (c != null && !c.ended) {
+            c.ended = true;
+            cancelAllBut(c, shot);
+        }
+    }
+
+    public void clientGone(long at, String id) {
+        now = at;
+        Call c = calls.get(id);
+        if (c != null && !c.ended) {
+            c.ended = true;
+            cancelAllBut(c, -1);
+            settle(c);
+        }
+    }
+
+    public void probed(long at, String upstream, Outcome outcome) {
+        now = at;
+    }
+
+    public void wake(long at, long token) {
+        now = at;
+        if (token == 0) {
+            out.watch();
+            return;
+        }
+        Call c = byToken.get(token);
+        if (c != null) {
+            c.wakeAt = Long.MAX_VALUE;
+            settle(c);
+        }
+    }
+
+    /** Goes through the rules until none fires, then asks to be woken when one next may. */
+    private void settle(Call c) {
+        for (int i = 0; !c.ended && i < rules.length; i++) {
+            if (rules[i].when.test(c)) {
+                rules[i].then.accept(c);
+                i = -1;
+            }
+        }
+        if (c.ended) {
+            if (c.out == 0) {
+                calls.remove(c.id);
+                byToken.remove(c.token);
+            }
+            return;
+        }
+        long due = moreMayCome(c) ? Math.min(c.next, c.end) : c.end;
+        if (due < c.wakeAt) {
+            c.wakeAt = due;
+            out.wake(c.token, due);
+        }
+    }
+
+    /** Rule 2: whether a further shot is allowed at all, now or later. */
+    private boolean moreMayCome(Call c) {
+        int anchor = c.anchor();
+        if (c.shots >= c.most && anchor >= 0 || c.shots >= limit.mostShots()) {
+            return false;
+        }
+        return anchor < 0 || c.product.repeat() == Repeat.IDEMPOTENT
+                || c.product.repeat() == Repeat.DEDUPLICATED && now - c.at[anchor] < c.product.repeatWindow();
+    }
+
+    /** Rule 2: a deduplicated call that may have run goes only where its repeat is dropped. */
+    private boolean dropsRepeat(Call c, int anchor, int u) {
+        if (anchor < 0 || c.product.repeat() == Repeat.IDEMPOTENT || c.product.scope() == Scope.ALL) {
+            return true;
+        }
+        Entry a = entry[c.to[anchor]];
+        Entry b = entry[u];
+        return c.product.scope() == Scope.ZONE ? a.zone().equals(b.zone()) : a.cell() == b.cell();
+    }
+
+    private void shoot(Call c) {
+        c.next = c.shots == 0 ? now + c.patience : c.next + c.patience;
+        int u = !limit.secondCopies() && c.out > 0 ? -1 : pick(c);
+        if (u < 0) {
+            if (c.out == 0) {
+                giveUp(c);
+            }
+            return;
+        }
+        if (c.shots == c.to.length) {
+            c.to = Arrays.copyOf(c.to, c.shots * 2);
+            c.at = Arrays.copyOf(c.at, c.shots * 2);
+            c.open = Arrays.copyOf(c.open, c.shots * 2);
+            c.neverRan = Arrays.copyOf(c.neverRan, c.shots * 2);
+        }
+        c.to[c.shots] = u;
+        c.at[c.shots] = now;
+        c.open[c.shots] = true;
+        c.shots++;
+        c.out++;
+        inFlight[u]++;
+        if (isCold(u)) {
+            coldNext[u] = now + coldInterval(u);
+        }
+        out.shot(c.id, entry[u].id(), c.end - now);
+    }
+
+    private void error(Call c) {
+        finish(c, () -> out.errored(c.id));
+    }
+
+    private void giveUp(Call c) {
+        // Rule 2: a rate-limit reply says that trying again is harmless, so it must be.
+        boolean harmless = c.anchor() < 0 || c.product.repeat() == Repeat.IDEMPOTENT
+                || c.product.repeat() == Repeat.DEDUPLICATED && c.product.scope() == Scope.ALL;
+        finish(c, () -> {
+            if (harmless) {
+                out.rateLimited(c.id, limit.retryAfter() ? limit.maxRetryAfter() : 0);
+            } else {
+                out.errored(c.id);
+            }
+        });
+    }
+
+    private void finish(Call c, Runnable answer) {
+        answer.run();
+        c.ended = true;
+        cancelAllBut(c, -1);
+    }
+
+    private void cancelAllBut(Call c, int shot) {
+        for (int i = 0; limit.mayCancel() && i < c.shots; i++) {
+            if (c.open[i] && i != shot) {
+                out.cancel(c.id, i);
+            }
+        }
+    }
+
+    /** Picks by rotation within the ordered groups; each level gives up one more wish, never a rule. -1 if none. */
+    private int pick(Call c) {
+        int anchor = c.anchor();
+        int start = activeGroup();
+        // One in fifty first shots is a trial; never of a call that has this one shot only.
+        if (c.shots == 0 && c.most > 1 && chance() < 1 / 50.0) {
+            int u = trial(start);
+            if (u >= 0) {
+                return u;
+            }
+        }
+        for (int level = 0; level < 4; level++) {
+            for (int i = 0; i < members.length; i++) {
+                int g = (start + i) % members.length;
+                int n = members[g].length;
+                double crowd = level == 0 ? crowdMark(g) : Double.MAX_VALUE;
+                for (int k = 0; k < n; k++) {
+                    int u = members[g][(cursor[g] + k) % n];
+                    if (inFlight[u] <= crowd && (level > 1 || !sick[u]) && (level > 2 || !tried(c, u))
+                            && dropsRepeat(c, anchor, u) && !(isCold(u) && now < coldNext[u])) {
+                        cursor[g] = (cursor[g] + k + 1) % n;
+                        return u;
+                    }
+                }
+            }
+        }
+        return -1;
+    }
+
+    private int trial(int active) {
+        int all = index.size();
+        for (int k = 1; k <= all; k++) {
+            int u = (trialCursor + k) % all;
+            if (entry[u].state() == State.READY && (sick[u] || left[group[u]] && group[u] < active)
+                    && !(isCold(u) && now < coldNext[u])) {
+                trialCursor = u;
+                return u;
+            }
+        }
+        return -1;
+    }
+
+    private static boolean tried(Call c, int u) {
+        for (int i = 0; i < c.shots; i++) {
+            if (c.to[i] == u) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Well above the mean in flight: half as much again, and one more so that few calls don't count as a crowd. */
+    private double crowdMark(int g) {
+        double sum = 0;
+        for (int u : members[g]) {
+            sum += inFlight[u];
+        }
+        return 1.5 * sum / members[g].length + 1;
+    }
+
+    /** The first group that traffic has not left: under 70% well it leaves, after 5 s above that it returns. */
+    private int activeGroup() {
+        int first = -1;
+        for (int g = 0; g < members.length; g++) {
+            int well = 0;
+            for (int u : members[g]) {
+                well += sick[u] ? 0 : 1;
+            }
+            if (members[g].length == 0) {
+                continue;
+            }
+            first = first < 0 ? g : first;
+            if (well < 0.7 * members[g].length) {
+                left[g] = true;
+                wellSince[g] = Long.MAX_VALUE;
+            } else if (left[g]) {
+                wellSince[g] = Math.min(wellSince[g], now);
+                left[g] = now - wellSince[g] < 5_000_000_000L;
+            }
+            if (!left[g]) {
+                return g;
+            }
+        }
+        return Math.max(0, first);
+    }
+
+    private boolean isCold(int u) {
+        return entry[u].startedAt() > 0 && now - entry[u].startedAt() < settings.rules().cold();
+    }
+
+    /** Rates fade over a quarter of the cold time: long enough for a few calls, short enough to follow the load. */
+    private double carriedNow(int u) {
+        return carried[u] * Math.exp(-(now - carriedAt[u]) / Math.max(1, settings.rules().cold() / 4.0));
+    }
+
+    /**
+     * Rule 4: the time between this balancer's shots to a cold upstream. What a warm peer of its group (else any)
+     * carries of this balancer's, times the share it can do by now, at 0.3 of the allowed multiple: the rest is room
+     * for chance. With nothing learnt, a call a second by all balancers together.
+     */
+    private long coldInterval(int u) {
+        double seconds = settings.rules().cold() / 4e9;
+        double rate = Math.max(warmRate(group[u]) / seconds, 1.0 / settings.instances());
+        double age = Math.min(1, (now - entry[u].startedAt()) / (double) settings.rules().cold());
+        double share = settings.rules().coldShare() + (1 - settings.rules().coldShare()) * age;
+        return (long) (1e9 / (rate * share * 0.3 * settings.rules().fallMultiple()));
+    }
+
+    private double warmRate(int preferred) {
+        double sum = 0;
+        int n = 0;
+        for (int own = 1; own >= 0 && n == 0; own--) {
+            for (int u = 0; u < index.size(); u++) {
+                if (entry[u] != null && entry[u].state() == State.READY && !isCold(u)
+                        && (own == 0 || group[u] == preferred)) {
+                    sum += carriedNow(u);
+                    n++;
+                }
+            }
+        }
+        return n == 0 ? 0 : sum / n;
+    }
+
+    /** A number from 0 up to 1, the same at every replay. */
+    private double chance() {
+        crc.reset();
+        for (long word : new long[] {seed, draws++}) {
+            for (int shift = 0; shift < 64; shift += 8) {
+                crc.update((int) (word >>> shift));
+            }
+        }
+        return crc.getValue() / (double) (1L << 32);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsestack/decision/Outcome.java
@@ -0,0 +1,27 @@
+package gorsestack.decision;
+
+/** How one shot, or one probe, ended. */
+public enum Outcome {
+    FULFILLED(false),
+    /** The upstream answered with an error. */
+    ERROR(false),
+    /** Turned away unseen. */
+    FULL(true),
+    TIMED_OUT(false),
+    /** No connection. */
+    UNREACHABLE(true),
+    /** The connection dropped while the shot was out. */
+    BROKEN(false),
+    CANCELLED(false),
+    /** Never left this balancer. */
+    NOT_SENT(true),
+    /** A word this build does not know: taken as one that may have run. */
+    UNKNOWN(false);
+
+    /** True where the upstream is known not to have begun the work. */
+    public final boolean provesItNeverRan;
+
+    Outcome(boolean provesItNeverRan) {
+        this.provesItNeverRan = provesItNeverRan;
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsestack/decision/Outgoing.java
@@ -0,0 +1,29 @@
+package gorsestack.decision;
+
+/** What a balancer does to the world. One protocol's adapter implements it; every call takes effect at once. */
+public interface Outgoing {
+
+    /** Sends the call's next shot, numbered from 0, to give up after that many nanoseconds. */
+    void shot(String apiCall, String upstream, long giveUpAfter);
+
+    void cancel(String apiCall, int shot);
+
+    /** Final answer: the client gets what this shot brought. */
+    void fulfilled(String apiCall, int shot);
+
+    /** Final answer: trying again is harmless; advice of 0 gives none. */
+    void rateLimited(String apiCall, long comeBackAfter);
+
+    /** Final answer: no promise. */
+    void errored(String apiCall);
+
+    /** Asks for Choice.wake with this token at that time. */
+    void wake(long token, long at);
+
+    void probe(String upstream);
+
+    /** Asks discovery to tell of changes from now on; one piece of news answers. */
+    void watch();
+
+    void note(String line);
+}
--- /dev/null
+++ b/src/main/java/gorsestack/decision/Upstreams.java
@@ -0,0 +1,14 @@
+package gorsestack.decision;
+
+import java.util.List;
+
+/** News of the upstreams, as discovery tells it: a whole list, a change to the list held, or a failure to get one. */
+public record Upstreams(Form form, List<Entry> entries) {
+
+    public enum Form { CACHED, FULL, CHANGES, FAILED }
+
+    public enum State { READY, DRAINING, GONE }
+
+    /** One upstream; startedAt in nanoseconds of the balancer's clock, 0 when it started long ago. */
+    public record Entry(String id, State state, long startedAt, int cell, double weight, String zone) { }
+}
--- /dev/null
+++ b/src/main/java/gorsestack/simhost/SettingsReader.java
@@ -0,0 +1,85 @@
+package gorsestack.simhost;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import gorsestack.decision.Settings;
+import gorsestack.decision.Settings.Limits;
+import gorsestack.decision.Settings.Product;
+import gorsestack.decision.Settings.Repeat;
+import gorsestack.decision.Settings.Rules;
+import gorsestack.decision.Settings.Scope;
+import gorsestack.decision.Settings.Tenant;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Turns the wire's first message into the module's settings. Keys that it does not know are skipped. */
+final class SettingsReader {
+    private static final int ENDLESS = Integer.MAX_VALUE;
+
+    private SettingsReader() { }
+
+    static Settings read(JsonNode info) throws WireException {
+        if (info == null || !info.isObject()) {
+            throw new WireException("HELLO: info must be an object");
+        }
+        List<String> zones = new ArrayList<>();
+        for (JsonNode zone : info.path("zones")) {
+            zones.add(zone.asText());
+        }
+        List<Product> products = new ArrayList<>();
+        for (JsonNode product : info.path("products")) {
+            products.add(product(product));
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        for (JsonNode tenant : info.path("tenants")) {
+            tenants.add(new Tenant(tenant.path("name").asText(), tenant.path("allowancePerS").asDouble(0)));
+        }
+        JsonNode limits = info.path("limits");
+        JsonNode rules = info.path("rules");
+        return new Settings(info.path("replicasOfMe").asInt(1), info.path("tier").asInt(0),
+                info.path("az").asText(""), zones, products, tenants,
+                new Limits(shots(limits), limits.path("mayCancel").asBoolean(false),
+                        limits.path("secondCopies").asBoolean(false), limits.path("retryAfter").asBoolean(false),
+                        nanos(limits, "maxRetryAfter", 0), limits.path("probing").asBoolean(false)),
+                new Rules(nanos(rules, "askWithin", 0), nanos(rules, "cold", 0),
+                        rules.path("coldShare").asDouble(1), rules.path("fallMultiple").asDouble(1),
+                        nanos(rules, "fall", 1000)),
+                info.path("membershipMode").asText("").equals("subscribe"),
+                info.path("weightSource").asText("none").equals("nominal"),
+                info.path("clientHabits").path("marksRetry").asBoolean(false), nanos(info, "step", 1));
+    }
+
+    private static int shots(JsonNode limits) {
+        int most = limits.path("mostShots").asInt(0);
+        return most > 0 ? most : ENDLESS;
+    }
+
+    private static Product product(JsonNode node) throws WireException {
+        String name = node.path("name").asText("");
+        if (name.isEmpty()) {
+            throw new WireException("HELLO: a product has no name");
+        }
+        long timeout = nanos(node, "clientTimeout", 0);
+        if (timeout <= 0) {
+            throw new WireException("HELLO: product " + name + " lacks clientTimeout");
+        }
+        // A word not known here is taken as the strictest one.
+        Repeat repeat = switch (node.path("semantics").asText("")) {
+            case "free" -> Repeat.IDEMPOTENT;
+            case "guarded" -> Repeat.DEDUPLICATED;
+            default -> Repeat.NON_IDEMPOTENT;
+        };
+        Scope scope = switch (node.path("keyScope").asText("")) {
+            case "all" -> Scope.ALL;
+            case "zone" -> Scope.ZONE;
+            default -> Scope.CELL;
+        };
+        return new Product(name, repeat, scope, nanos(node, "repeatWindow", 0),
+                Math.min(timeout, nanos(node, "latencySlo", timeout)), timeout,
+                node.path("billedValue").asDouble(1), node.path("lateBilledValue").asDouble(0),
+                node.path("streamed").asBoolean(false));
+    }
+
+    private static long nanos(JsonNode node, String key, double absentMs) {
+        return SimHost.nanos(node.path(key).asDouble(absentMs));
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsestack/simhost/SimHost.java
@@ -0,0 +1,276 @@
+package gorsestack.simhost;
+
+import com.fasterxml.jackson.core.JsonEncoding;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gorsestack.decision.Choice;
+import gorsestack.decision.Outcome;
+import gorsestack.decision.Upstreams;
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The simulator's wire: hosts balancers, each with a module of its own, and decides nothing. */
+public final class SimHost {
+    private final BufferedReader in;
+    private final OutputStream out;
+    private final PrintStream err;
+    private final JsonFactory json = new JsonFactory(new ObjectMapper());
+    private final Map<Long, Choice> balancers = new HashMap<>();
+    private final Map<Long, List<Upstreams.Entry>> sheets = new HashMap<>();
+    private JsonGenerator writer;
+    private long round = -1;
+    private long now;
+
+    public SimHost(InputStream in, OutputStream out, PrintStream err) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = out;
+        this.err = err;
+    }
+
+    /** The reply under way. */
+    JsonGenerator reply() {
+        return writer;
+    }
+
+    static long nanos(double millis) {
+        return Math.round(millis * 1e6);
+    }
+
+    static double millis(long nanos) {
+        return nanos / 1e6;
+    }
+
+    /** Answers batches until the input ends; the exit code. */
+    public int run() throws IOException {
+        ByteArrayOutputStream reply = new ByteArrayOutputStream(1 << 16);
+        for (String line; (line = in.readLine()) != null;) {
+            reply.reset();
+            try {
+                batch(line, reply);
+            } catch (WireException e) {
+                return complain(e.getMessage());
+            } catch (JsonProcessingException e) {
+                return complain("not JSON: " + e.getOriginalMessage());
+            }
+            reply.write('\n');
+            reply.writeTo(out);
+            out.flush();
+        }
+        return 0;
+    }
+
+    private int complain(String what) {
+        err.println("gorsestack: " + (round < 0 ? "before any round" : "round " + round) + ": " + what);
+        return 2;
+    }
+
+    private void batch(String line, OutputStream bytes) throws IOException {
+        try (JsonParser parser = json.createParser(line);
+                JsonGenerator reply = json.createGenerator(bytes, JsonEncoding.UTF8)) {
+            writer = reply;
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new WireException("a batch must be an object");
+            }
+            boolean clock = false;
+            boolean numbered = false;
+            boolean answered = false;
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String key = parser.currentName();
+                JsonToken value = parser.nextToken();
+                if (key.equals("wall") && value.isNumeric()) {
+                    now = nanos(parser.getDoubleValue());
+                    clock = true;
+                } else if (key.equals("round") && value == JsonToken.VALUE_NUMBER_INT) {
+                    round = parser.getLongValue();
+                    numbered = true;
+                } else if (key.equals("events") && value == JsonToken.START_ARRAY && clock && numbered) {
+                    writer.writeStartObject();
+                    writer.writeNumberField("round", round);
+                    writer.writeArrayFieldStart("out");
+                    events(parser);
+                    writer.writeEndArray();
+                    writer.writeEndObject();
+                    answered = true;
+                } else if (key.equals("wall") || key.equals("round") || key.equals("events")) {
+                    throw new WireException(key + " is out of place or of the wrong type: " + value);
+                } else {
+                    parser.skipChildren();
+                }
+            }
+            if (!answered) {
+                throw new WireException("a batch needs wall, round and events, in that order");
+            }
+            if (parser.nextToken() != null) {
+                throw new WireException("more than one value on a line");
+            }
+        }
+    }
+
+    private void events(JsonParser parser) throws IOException {
+        Row row = new Row(parser);
+        JsonToken token;
+        while ((token = parser.nextToken()) != JsonToken.END_ARRAY) {
+            if (token != JsonToken.START_ARRAY) {
+                throw new WireException("an event must be an array, not " + token);
+            }
+            row.open("event");
+            String name = row.text("name");
+            row.rename(name);
+            if (name.equals("SHEET")) {
+                sheet(row, parser);
+            } else {
+                event(name, row, parser);
+            }
+            row.close();
+        }
+    }
+
+    private void sheet(Row row, JsonParser parser) throws IOException {
+        long bank = row.whole("bank");
+        if (row.next() != JsonToken.START_ARRAY) {
+            throw new WireException("SHEET: items must be an array");
+        }
+        List<Upstreams.Entry> entries = new ArrayList<>();
+        Row item = new Row(parser);
+        JsonToken token;
+        while ((token = parser.nextToken()) != JsonToken.END_ARRAY) {
+            if (token != JsonToken.START_ARRAY) {
+                throw new WireException("SHEET: an entry must be an array, not " + token);
+            }
+            item.open("SHEET entry");
+            long state = item.whole("state");
+            long startedAt = nanos(item.numberOr("startedAt", 0));
+            int cell = (int) item.numberOr("cluster", 0);
+            double weight = item.numberOr("powerHint", 1);
+            item.textOrNull("type");
+            String zone = item.textOrNull("regionPart");
+            String id = item.text("upstream");
+            item.close();
+            // A state not known here is taken as one that wants nothing new.
+            Upstreams.State is = state == 1 ? Upstreams.State.READY
+                    : state == 0 ? Upstreams.State.GONE : Upstreams.State.DRAINING;
+            entries.add(new Upstreams.Entry(id, is, startedAt, cell, weight, zone == null ? "" : zone));
+        }
+        sheets.put(bank, entries);
+    }
+
+    private void event(String name, Row row, JsonParser parser) throws IOException {
+        long instance = row.whole("balancerId");
+        if (name.equals("HELLO")) {
+            long seed = row.whole("seed");
+            if (row.next() != JsonToken.START_OBJECT) {
+                throw new WireException("HELLO: info must be an object");
+            }
+            var settings = SettingsReader.read(parser.readValueAsTree());
+            guard(instance, () -> balancers.put(instance,
+                    new Choice(settings, seed, now, new Writer(this, instance))));
+            return;
+        }
+        Choice choice = balancers.get(instance);
+        if (choice == null) {
+            return;
+        }
+        switch (name) {
+            case "SYNC" -> {
+                long form = row.whole("form");
+                row.numberOr("rev", 0);
+                Upstreams news = news(form, form == 4 ? -1 : row.whole("bank"));
+                guard(instance, () -> choice.upstreams(now, news));
+            }
+            case "NEW_REQUEST" -> {
+                String id = row.text("ref");
+                String product = row.text("tierClass");
+                String tenant = row.textOrNull("clientGroup");
+                row.textOrNull("resource");
+                double left = row.numberOr("remaining", -1);
+                row.numberOr("costGuess", 0);
+                boolean retry = ((long) row.numberOr("marks", 0) & 2) != 0;
+                guard(instance, () -> choice.apiCall(now, id, product, tenant,
+                        left < 0 ? -1 : nanos(left), retry));
+            }
+            case "ANSWER" -> {
+                String id = row.text("ref");
+                int shot = (int) row.whole("seqNo");
+                row.textOrNull("upstream");
+                Outcome outcome = outcome(row.text("code"));
+                long took = nanos(row.numberOr("costTime", 0));
+                boolean closed = row.flag("closed");
+                guard(instance, () -> choice.outcome(now, id, shot, outcome, took, closed));
+            }
+            case "CHECKED" -> {
+                String upstream = row.text("upstream");
+                Outcome outcome = outcome(row.text("code"));
+                guard(instance, () -> choice.probed(now, upstream, outcome));
+            }
+            case "BEGUN" -> {
+                String id = row.text("ref");
+                row.numberOr("costTime", 0);
+                int shot = (int) row.whole("seqNo");
+                guard(instance, () -> choice.started(now, id, shot));
+            }
+            case "CLIENT_GONE" -> {
+                String id = row.text("ref");
+                guard(instance, () -> choice.clientGone(now, id));
+            }
+            case "DEADLINE_HIT" -> {
+                long token = row.whole("mark");
+                guard(instance, () -> choice.wake(now, token));
+            }
+            case "DESTROY" -> balancers.remove(instance);
+            default -> { }
+        }
+    }
+
+    private Upstreams news(long form, long bank) throws WireException {
+        if (form == 4) {
+            return new Upstreams(Upstreams.Form.FAILED, List.of());
+        }
+        List<Upstreams.Entry> entries = sheets.get(bank);
+        if (entries == null) {
+            throw new WireException("SYNC names list " + bank + ", which was never sent");
+        }
+        if (form < 0 || form > 2) {
+            throw new WireException("SYNC: form " + form + " is not known");
+        }
+        return new Upstreams(form == 2 ? Upstreams.Form.CHANGES
+                : form == 1 ? Upstreams.Form.FULL : Upstreams.Form.CACHED, entries);
+    }
+
+    private static Outcome outcome(String code) {
+        return switch (code) {
+            case "success" -> Outcome.FULFILLED;
+            case "failure" -> Outcome.ERROR;
+            case "overloaded" -> Outcome.FULL;
+            case "timed_out" -> Outcome.TIMED_OUT;
+            case "unreachable" -> Outcome.UNREACHABLE;
+            case "broken" -> Outcome.BROKEN;
+            case "withdrawn" -> Outcome.CANCELLED;
+            case "void" -> Outcome.NOT_SENT;
+            default -> Outcome.UNKNOWN;
+        };
+    }
+
+    /** A module that throws is reported with the wire's fault message; its trace goes to standard error. */
+    private void guard(long instance, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            e.printStackTrace(err);
+            new Writer(this, instance).fault("round " + round + ": " + e);
+        }
+    }
+}
