--- /dev/null
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -0,0 +1,133 @@
+package gorsestack.decision;
+
+import static gorsestack.decision.Play.MS;
+import static gorsestack.decision.Play.entry;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorsestack.decision.Settings.Scope;
+import gorsestack.decision.Upstreams.Form;
+import gorsestack.decision.Upstreams.State;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class ChoiceTest {
+
+    private static Play six(Settings settings, long seed) {
+        Play play = new Play(settings, seed);
+        Upstreams.Entry[] entries = new Upstreams.Entry[6];
+        for (int i = 0; i < 6; i++) {
+            entries[i] = entry("u" + i, State.READY, 0, i / 2, i < 3 ? "a" : "b");
+        }
+        play.tell(Form.CACHED, entries);
+        return play;
+    }
+
+    /** Whatever happens in whatever order, the module does nothing that the plain model forbids. */
+    @Test
+    void agreesWithThePlainModelOnGeneratedInputs() {
+        for (int seed = 0; seed < 300; seed++) {
+            SplittableRandom r = new SplittableRandom(seed);
+            Play play = six(Play.settings(1 + r.nextInt(5), r.nextInt(2), 1 + r.nextInt(4), r.nextBoolean(),
+                    Scope.values()[r.nextInt(3)]), seed);
+            int slowest = 20 + r.nextInt(1500);
+            double bad = r.nextDouble();
+            for (int i = 0; i < 400; i++) {
+                play.runTo(play.now + r.nextInt(40) * MS);
+                String id = "c" + i;
+                play.call(id, List.of("read", "mark", "once").get(r.nextInt(3)), (r.nextInt(1200) - 20) * MS);
+                for (int k = 0; k < 4; k++) {
+                    int shot = k;
+                    Outcome outcome = r.nextDouble() > bad ? Outcome.FULFILLED : Outcome.values()[r.nextInt(9)];
+                    play.at(play.now + r.nextInt(slowest) * MS, () -> {
+                        if (play.calls.get(id).shots.size() > shot) {
+                            play.end(id, shot, outcome);
+                        }
+                    });
+                }
+                if (r.nextInt(20) == 0) {
+                    int u = r.nextInt(6);
+                    State state = State.values()[r.nextInt(3)];
+                    play.tell(Form.CHANGES, entry("u" + u, state, r.nextInt(3) == 0 ? play.now : 0, u / 2,
+                            u < 3 ? "a" : "b"));
+                }
+                if (r.nextInt(100) == 0) {
+                    play.tell(Form.FAILED);
+                }
+            }
+            play.settle();
+        }
+    }
+
+    /** Danger: a cold upstream falls over when all balancers together send it more than it can do yet. */
+    @Test
+    void allBalancersTogetherKeepAColdUpstreamsBudget() {
+        int balancers = 4;
+        double capacity = 50;
+        for (int seed = 0; seed < 20; seed++) {
+            List<Play> plays = new ArrayList<>();
+            List<Long> toCold = new ArrayList<>();
+            SplittableRandom r = new SplittableRandom(seed);
+            for (int b = 0; b < balancers; b++) {
+                plays.add(six(Play.settings(balancers, 0, 2, false, Scope.ALL), seed * 10 + b));
+            }
+            int warmUp = seed % 2 == 0 ? 2000 : 0;
+            for (int ms = 0; ms < 24_000; ms++) {
+                for (Play play : plays) {
+                    if (ms == warmUp) {
+                        play.tell(Form.CHANGES, entry("u0", State.READY, play.now, 0, "a"));
+                    }
+                    play.runTo(play.now + MS);
+                    if (r.nextDouble() < 0.8 * capacity * 6 / balancers / 1000) {
+                        String id = "c" + ms;
+                        play.call(id, "read", 1000 * MS);
+                        Play.ApiCall c = play.calls.get(id);
+                        if (!c.shots.isEmpty()) {
+                            if (c.shots.get(0).upstream.equals("u0") && ms >= warmUp) {
+                                toCold.add((long) ms - warmUp);
+                            }
+                            play.at(play.now + 30 * MS, () -> play.end(id, 0, Outcome.FULFILLED));
+                        }
+                    }
+                }
+            }
+            for (int i = 0; i < toCold.size(); i++) {
+                long from = toCold.get(i);
+                long sent = toCold.stream().filter(t -> t >= from && t < from + 1000).count();
+                double now = 0.15 + 0.85 * Math.min(1, from / 20_000.0);
+                assertTrue(sent <= 2.5 * capacity * now, "sent " + sent + " in a second at " + from + " ms");
+            }
+            assertTrue(toCold.size() > 100, "a cold upstream gets its share: " + toCold.size());
+        }
+    }
+
+    /** The mechanism itself: a second shot at half the time left, the first success wins, the other is cancelled. */
+    @Test
+    void theSecondShotComesAfterThePatienceAndTheLoserIsCancelled() {
+        Play play = six(Play.settings(1, 0, 4, false, Scope.ALL), 1);
+        play.call("c", "read", 1000 * MS);
+        play.runTo(play.now + 490 * MS);
+        assertEquals(1, play.calls.get("c").shots.size());
+        play.runTo(play.now + 20 * MS);
+        assertEquals(2, play.calls.get("c").shots.size());
+        play.end("c", 1, Outcome.FULFILLED);
+        assertEquals("fulfilled", play.calls.get("c").answer);
+        assertTrue(play.calls.get("c").shots.get(0).cancelled);
+        play.settle();
+    }
+
+    /** Danger: a list that was never got leaves a drain unheard, and repeats without pause sink its service. */
+    @Test
+    void asksAgainForTheListAfterAFailureButNotAtOnce() {
+        Play play = six(Play.settings(10, 0, 2, true, Scope.ALL), 1);
+        play.runTo(play.now + 3000 * MS);
+        assertEquals(1, play.watches);
+        play.tell(Form.FAILED);
+        play.runTo(play.now + 1000 * MS);
+        assertEquals(1, play.watches);
+        play.runTo(play.now + 8000 * MS);
+        assertEquals(2, play.watches);
+    }
+}
--- /dev/null
+++ b/src/test/java/gorsestack/decision/Play.java
@@ -0,0 +1,236 @@
+package gorsestack.decision;
+
+import gorsestack.decision.Settings.Limits;
+import gorsestack.decision.Settings.Product;
+import gorsestack.decision.Settings.Repeat;
+import gorsestack.decision.Settings.Rules;
+import gorsestack.decision.Settings.Scope;
+import gorsestack.decision.Settings.Tenant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+/** One balancer's surroundings, and beside it a slow and plain model of the rules that tells what is allowed. */
+final class Play implements Outgoing {
+    static final long MS = 1_000_000;
+
+    static final class Shot {
+        String upstream;
+        long at;
+        Outcome ended;
+        boolean cancelled;
+    }
+
+    static final class ApiCall {
+        String id;
+        Product product;
+        long from;
+        long until;
+        List<Shot> shots = new ArrayList<>();
+        String answer;
+        long answeredAt;
+        long advice;
+    }
+
+    private record Due(long at, long order, Runnable what) { }
+
+    final Map<String, ApiCall> calls = new LinkedHashMap<>();
+    final Map<String, Upstreams.Entry> list = new LinkedHashMap<>();
+    final List<String> wrongs = new ArrayList<>();
+    final SplittableRandom random;
+    final Settings settings;
+    final Choice choice;
+    long now = 1000 * MS;
+    int watches;
+    private final PriorityQueue<Due> dues =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private long order;
+
+    Play(Settings settings, long seed) {
+        this.settings = settings;
+        random = new SplittableRandom(seed);
+        choice = new Choice(settings, seed, now, this);
+    }
+
+    static Product product(String name, Repeat repeat, Scope scope) {
+        return new Product(name, repeat, scope, 600 * MS, 400 * MS, 1000 * MS, 2, 0.3, false);
+    }
+
+    static Settings settings(int instances, int tier, int mostShots, boolean ask, Scope scope) {
+        return new Settings(instances, tier, "a", List.of("a", "b"), List.of(
+                product("read", Repeat.IDEMPOTENT, Scope.ALL), product("mark", Repeat.DEDUPLICATED, scope),
+                product("once", Repeat.NON_IDEMPOTENT, Scope.ALL)), List.of(new Tenant("t", 50)),
+                new Limits(mostShots, true, true, true, 500 * MS, false),
+                new Rules(10_000 * MS, 20_000 * MS, 0.15, 2.5, 1000 * MS), ask, false, true, MS);
+    }
+
+    static Upstreams.Entry entry(String id, Upstreams.State state, long startedAt, int cell, String zone) {
+        return new Upstreams.Entry(id, state, startedAt, cell, 1, zone);
+    }
+
+    void tell(Upstreams.Form form, Upstreams.Entry... entries) {
+        if (form == Upstreams.Form.FULL || form == Upstreams.Form.CACHED) {
+            list.clear();
+        }
+        for (Upstreams.Entry e : entries) {
+            list.put(e.id(), e);
+        }
+        choice.upstreams(now, new Upstreams(form, List.of(entries)));
+    }
+
+    void call(String id, String product, long left) {
+        ApiCall c = new ApiCall();
+        c.id = id;
+        c.product = settings.products().stream().filter(p -> p.name().equals(product)).findFirst().orElseThrow();
+        c.from = now;
+        c.until = now + left;
+        calls.put(id, c);
+        choice.apiCall(now, id, product, "t", left, false);
+    }
+
+    void at(long time, Runnable what) {
+        dues.add(new Due(time, order++, what));
+    }
+
+    void runTo(long time) {
+        while (!dues.isEmpty() && dues.peek().at <= time) {
+            Due due = dues.poll();
+            now = Math.max(now, due.at);
+            due.what.run();
+        }
+        now = time;
+    }
+
+    void end(String id, int shot, Outcome outcome) {
+        ApiCall c = calls.get(id);
+        Shot s = c.shots.get(shot);
+        if (s.ended == null) {
+            s.ended = outcome;
+            choice.outcome(now, id, shot, outcome, now - s.at, outcome == Outcome.FULFILLED || c.answer != null);
+        }
+    }
+
+    private void wrong(String what, ApiCall c) {
+        wrongs.add(what + " for " + c.id + " (" + c.product.name() + ") at " + (now - c.from) / MS + " ms");
+    }
+
+    private static boolean mayHaveRun(Shot s) {
+        return s.ended == null || !s.ended.provesItNeverRan;
+    }
+
+    @Override
+    public void shot(String id, String upstream, long giveUpAfter) {
+        ApiCall c = calls.get(id);
+        if (c.answer != null || now >= c.until) {
+            wrong("a shot after the end", c);
+        }
+        if (list.get(upstream) == null || list.get(upstream).state() != Upstreams.State.READY) {
+            wrong("a shot to a draining or gone upstream", c);
+        }
+        if (c.shots.size() >= settings.limits().mostShots()) {
+            wrong("a shot too many", c);
+        }
+        for (Shot s : c.shots) {
+            if (mayHaveRun(s) && c.product.repeat() == Repeat.NON_IDEMPOTENT) {
+                wrong("a second effect", c);
+            }
+            if (mayHaveRun(s) && c.product.repeat() == Repeat.DEDUPLICATED) {
+                Upstreams.Entry a = list.get(s.upstream);
+                Upstreams.Entry b = list.get(upstream);
+                if (now - s.at >= c.product.repeatWindow()) {
+                    wrong("a repeat past the window", c);
+                }
+                if (c.product.scope() == Scope.ZONE && !a.zone().equals(b.zone())
+                        || c.product.scope() == Scope.CELL && a.cell() != b.cell()) {
+                    wrong("a repeat outside the group", c);
+                }
+            }
+        }
+        Shot s = new Shot();
+        s.upstream = upstream;
+        s.at = now;
+        c.shots.add(s);
+        int number = c.shots.size() - 1;
+        at(now + giveUpAfter, () -> end(id, number, Outcome.TIMED_OUT));
+    }
+
+    @Override
+    public void cancel(String id, int shot) {
+        calls.get(id).shots.get(shot).cancelled = true;
+        at(now, () -> end(id, shot, Outcome.CANCELLED));
+    }
+
+    private void answer(String id, String answer) {
+        ApiCall c = calls.get(id);
+        if (c.answer != null) {
+            wrong("a second answer", c);
+        }
+        if (now >= c.until) {
+            wrong("an answer too late", c);
+        }
+        c.answer = answer;
+        c.answeredAt = now;
+    }
+
+    @Override
+    public void fulfilled(String id, int shot) {
+        answer(id, "fulfilled");
+    }
+
+    @Override
+    public void rateLimited(String id, long comeBackAfter) {
+        ApiCall c = calls.get(id);
+        if (!harmless(c)) {
+            wrong("a rate-limit reply that is no promise", c);
+        }
+        c.advice = comeBackAfter;
+        answer(id, "rate-limited");
+    }
+
+    @Override
+    public void errored(String id) {
+        ApiCall c = calls.get(id);
+        if (harmless(c) && now < c.until - 3 * settings.step()) {
+            wrong("an error where a rate-limit reply was allowed", c);
+        }
+        answer(id, "errored");
+    }
+
+    private boolean harmless(ApiCall c) {
+        return c.product.repeat() == Repeat.IDEMPOTENT || c.shots.stream().noneMatch(Play::mayHaveRun)
+                || c.product.repeat() == Repeat.DEDUPLICATED && c.product.scope() == Scope.ALL;
+    }
+
+    @Override
+    public void wake(long token, long time) {
+        at(Math.max(time, now + settings.step()), () -> choice.wake(now, token));
+    }
+
+    @Override
+    public void probe(String upstream) { }
+
+    @Override
+    public void watch() {
+        watches++;
+    }
+
+    @Override
+    public void note(String line) { }
+
+    /** What every call must have come to once its client has given up. */
+    void settle() {
+        runTo(now + 10_000 * MS);
+        for (ApiCall c : calls.values()) {
+            if (c.answer == null) {
+                wrong("no answer", c);
+            }
+        }
+        if (!wrongs.isEmpty()) {
+            throw new AssertionError(wrongs.size() + " wrongs: " + Arrays.toString(wrongs.stream().limit(5).toArray()));
+        }
+    }
+}
