--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import java.util.zip.CRC32;
 
 /**
  * All decisions of one balancer. Make one for each balancer, tell it whatever happens through the public methods,
@@ -22,6 +21,9 @@
  */
 public final class Choice {
 
+    /** No call needs more shots, whatever the settings allow: eight proven not run mean that nothing is there. */
+    private static final int MOST = 8;
+
     private static final class Call {
         String id;
         long token;
@@ -34,10 +36,10 @@
         int shots;
         int out;
         boolean ended;
-        int[] to = new int[2];
-        long[] at = new long[2];
-        boolean[] open = new boolean[2];
-        boolean[] neverRan = new boolean[2];
+        final int[] to = new int[MOST];
+        final long[] at = new long[MOST];
+        final boolean[] open = new boolean[MOST];
+        final boolean[] neverRan = new boolean[MOST];
 
         /** The first shot that may have run or is out, -1 if there is none. */
         int anchor() {
@@ -58,9 +60,7 @@
     private final Map<String, Product> products = new HashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<Long, Call> byToken = new HashMap<>();
-    private final CRC32 crc = new CRC32();
-    private final long seed;
-    private long draws;
+    private final Chance chance;
     private long tokens;
     private long now;
 
@@ -94,7 +94,7 @@
     public Choice(Settings settings, long seed, long now, Outgoing out) {
         this.settings = settings;
         this.limit = settings.limits();
-        this.seed = seed;
+        this.chance = new Chance(seed);
         this.now = now;
         this.out = out;
         for (Product product : settings.products()) {
@@ -106,11 +106,11 @@
         left = new boolean[groups];
         wellSince = new long[groups];
         for (int g = 0; g < groups; g++) {
-            cursor[g] = (int) (chance() * (1 << 20));
+            cursor[g] = (int) (chance.next() * (1 << 20));
         }
         if (settings.asksForList()) {
             // All balancers start together and the list is one small service: spread the first call over a fifth.
-            out.wake(0, now + (long) (chance() * settings.rules().askWithin() / 5));
+            out.wake(0, now + (long) (chance.next() * settings.rules().askWithin() / 5));
         }
     }
 
@@ -119,7 +119,7 @@
         if (news.form() == Form.FAILED) {
             // Danger: untold of a drain for good. Asked again within the time after which it is deemed told, and
             // spread, so that repeats don't sink the list service.
-            out.wake(0, now + (long) ((0.2 + 0.4 * chance()) * settings.rules().askWithin()));
+            out.wake(0, now + (long) ((0.2 + 0.4 * chance.next()) * settings.rules().askWithin()));
             return;
         }
         boolean whole = news.form() != Form.CHANGES;
@@ -173,7 +173,7 @@
             carried[u] = 0;
             entry[u] = e;
             // Rule 4: a burst at the start could spend the whole budget, so the first turn comes late and by chance.
-            coldNext[u] = isCold(u) ? now + (long) (coldInterval(u) * (0.5 + chance())) : 0;
+            coldNext[u] = isCold(u) ? now + (long) (coldInterval(u) * (0.5 + chance.next())) : 0;
         }
         entry[u] = e;
         return u;
@@ -292,7 +292,7 @@
     /** Rule 2: whether a further shot is allowed at all, now or later. */
     private boolean moreMayCome(Call c) {
         int anchor = c.anchor();
-        if (c.shots >= c.most && anchor >= 0 || c.shots >= limit.mostShots()) {
+        if (c.shots >= c.most && anchor >= 0 || c.shots >= Math.min(MOST, limit.mostShots())) {
             return false;
         }
         return anchor < 0 || c.product.repeat() == Repeat.IDEMPOTENT
@@ -318,12 +318,6 @@
             }
             return;
         }
-        if (c.shots == c.to.length) {
-            c.to = Arrays.copyOf(c.to, c.shots * 2);
-            c.at = Arrays.copyOf(c.at, c.shots * 2);
-            c.open = Arrays.copyOf(c.open, c.shots * 2);
-            c.neverRan = Arrays.copyOf(c.neverRan, c.shots * 2);
-        }
         c.to[c.shots] = u;
         c.at[c.shots] = now;
         c.open[c.shots] = true;
@@ -372,7 +366,7 @@
         int anchor = c.anchor();
         int start = activeGroup();
         // One in fifty first shots is a trial; never of a call that has this one shot only.
-        if (c.shots == 0 && c.most > 1 && chance() < 1 / 50.0) {
+        if (c.shots == 0 && c.most > 1 && chance.next() < 1 / 50.0) {
             int u = trial(start);
             if (u >= 0) {
                 return u;
@@ -489,15 +483,4 @@
         }
         return n == 0 ? 0 : sum / n;
     }
-
-    /** A number from 0 up to 1, the same at every replay. */
-    private double chance() {
-        crc.reset();
-        for (long word : new long[] {seed, draws++}) {
-            for (int shift = 0; shift < 64; shift += 8) {
-                crc.update((int) (word >>> shift));
-            }
-        }
-        return crc.getValue() / (double) (1L << 32);
-    }
 }
