--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -62,6 +62,7 @@
     private final Map<Long, Call> byToken = new HashMap<>();
     private final Chance chance;
     private long tokens;
+    private double copies;
     private long now;
 
     // Upstreams, under an index that an id keeps for good.
@@ -88,7 +89,7 @@
         new Rule(c -> c.shots == 0, this::shoot),
         new Rule(c -> c.out == 0 && c.anchor() < 0 && moreMayCome(c), this::shoot),
         new Rule(c -> c.out == 0 && !moreMayCome(c), this::giveUp),
-        new Rule(c -> now >= c.next && moreMayCome(c), this::shoot),
+        new Rule(c -> now >= c.next && moreMayCome(c), this::copy),
     };
 
     public Choice(Settings settings, long seed, long now, Outgoing out) {
@@ -223,6 +224,8 @@
         if (outcome == Outcome.FULFILLED) {
             straightFailures[u] = 0;
             sick[u] = false;
+            // One copy for every ten answers, the share that the design expects to be slow and some room; ten saved.
+            copies = Math.min(10, copies + 0.1);
             carried[u] = carriedNow(u) + 1;
             carriedAt[u] = now;
         } else if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
@@ -309,6 +312,16 @@
         return c.product.scope() == Scope.ZONE ? a.zone().equals(b.zone()) : a.cell() == b.cell();
     }
 
+    /** Danger: when everything is slow every timer trips, and copies that nobody can pay for slow it further. */
+    private void copy(Call c) {
+        if (copies >= 1) {
+            copies--;
+            shoot(c);
+        } else {
+            c.next += c.patience;
+        }
+    }
+
     private void shoot(Call c) {
         c.next = c.shots == 0 ? now + c.patience : c.next + c.patience;
         int u = !limit.secondCopies() && c.out > 0 ? -1 : pick(c);
