--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -385,14 +385,14 @@
                 return u;
             }
         }
+        double mark = crowdMark();
         for (int level = 0; level < 4; level++) {
             for (int i = 0; i < members.length; i++) {
                 int g = (start + i) % members.length;
                 int n = members[g].length;
-                double crowd = level == 0 ? crowdMark(g) : Double.MAX_VALUE;
                 for (int k = 0; k < n; k++) {
                     int u = members[g][(cursor[g] + k) % n];
-                    if (inFlight[u] <= crowd && (level > 1 || !sick[u]) && (level > 2 || !tried(c, u))
+                    if ((level > 0 || inFlight[u] <= mark) && (level > 1 || !sick[u]) && (level > 2 || !tried(c, u))
                             && dropsRepeat(c, anchor, u) && !(isCold(u) && now < coldNext[u])) {
                         cursor[g] = (cursor[g] + k + 1) % n;
                         return u;
@@ -425,13 +425,20 @@
         return false;
     }
 
-    /** Well above the mean in flight: half as much again, and one more so that few calls don't count as a crowd. */
-    private double crowdMark(int g) {
+    /**
+     * Well above this balancer's mean in flight over all groups: twice that, and one so that few calls are no crowd.
+     * Danger: a zone with more traffic than its own upstreams carry; a crowded group passes calls to the next.
+     */
+    private double crowdMark() {
         double sum = 0;
-        for (int u : members[g]) {
-            sum += inFlight[u];
+        int n = 0;
+        for (int[] group : members) {
+            n += group.length;
+            for (int u : group) {
+                sum += inFlight[u];
+            }
         }
-        return 1.5 * sum / members[g].length + 1;
+        return 2 * sum / Math.max(1, n) + 1;
     }
 
     /** The first group that traffic has not left: under 70% well it leaves, after 5 s above that it returns. */
