--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -385,11 +385,16 @@
                 return u;
             }
         }
-        double mark = crowdMark();
+        double all = crowdMark();
         for (int level = 0; level < 4; level++) {
             for (int i = 0; i < members.length; i++) {
                 int g = (start + i) % members.length;
                 int n = members[g].length;
+                double own = 0;
+                for (int u : members[g]) {
+                    own += inFlight[u];
+                }
+                double mark = Math.min(all, 1.25 * own / Math.max(1, n) + 0.5);
                 for (int k = 0; k < n; k++) {
                     int u = members[g][(cursor[g] + k) % n];
                     if ((level > 0 || inFlight[u] <= mark) && (level > 1 || !sick[u]) && (level > 2 || !tried(c, u))
