--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -36,6 +36,8 @@
         int shots;
         int out;
         boolean ended;
+        long from;
+        boolean lesser;
         final int[] to = new int[MOST];
         final long[] at = new long[MOST];
         final boolean[] open = new boolean[MOST];
@@ -63,6 +65,10 @@
     private final Chance chance;
     private long tokens;
     private double copies;
+    private int inHand;
+    private double room;
+    private double lateness;
+    private long cutAt;
     private long now;
 
     // Upstreams, under an index that an id keeps for good.
@@ -86,6 +92,7 @@
     // Rule 1: one final answer before the client timeout, and nothing after it. The order matters.
     private final Rule[] rules = {
         new Rule(c -> now >= c.end, this::error),
+        new Rule(c -> c.shots == 0 && crowdedOut(c), this::giveUp),
         new Rule(c -> c.shots == 0, this::shoot),
         new Rule(c -> c.out == 0 && c.anchor() < 0 && moreMayCome(c), this::shoot),
         new Rule(c -> c.out == 0 && !moreMayCome(c), this::giveUp),
@@ -135,6 +142,7 @@
                 entry[u] = new Entry(e.id(), State.GONE, e.startedAt(), e.cell(), e.weight(), e.zone());
             }
         }
+        int all = 0;
         for (int g = 0; g < members.length; g++) {
             int[] ready = new int[index.size()];
             int n = 0;
@@ -144,7 +152,10 @@
                 }
             }
             members[g] = Arrays.copyOf(ready, n);
+            all += n;
         }
+        // To start with, six calls an upstream: enough for the usual answer, not enough to jam one.
+        room = room == 0 ? 6.0 * all / settings.instances() : room;
     }
 
     private int learn(Entry e) {
@@ -196,6 +207,9 @@
         // Two shots unless a repeat could do harm; a further one only where a second copy may be out.
         c.most = c.product.repeat() == Repeat.NON_IDEMPOTENT ? 1 : Math.min(2, limit.mostShots());
         c.patience = (c.end - now) / c.most;
+        c.from = now;
+        c.lesser = retry;
+        inHand++;
         calls.put(id, c);
         byToken.put(c.token, c);
         settle(c);
@@ -216,7 +230,9 @@
         if (outcome == Outcome.FULFILLED && !c.ended) {
             finish(c, () -> out.fulfilled(id, shot));
         }
-        c.ended |= closed;
+        if (closed) {
+            end(c);
+        }
         settle(c);
     }
 
@@ -238,7 +254,7 @@
         now = at;
         Call c = calls.get(id);
         if (c != null && !c.ended) {
-            c.ended = true;
+            end(c);
             cancelAllBut(c, shot);
         }
     }
@@ -247,7 +263,7 @@
         now = at;
         Call c = calls.get(id);
         if (c != null && !c.ended) {
-            c.ended = true;
+            end(c);
             cancelAllBut(c, -1);
             settle(c);
         }
@@ -362,10 +378,41 @@
 
     private void finish(Call c, Runnable answer) {
         answer.run();
-        c.ended = true;
+        end(c);
         cancelAllBut(c, -1);
     }
 
+    private void end(Call c) {
+        if (c.ended) {
+            return;
+        }
+        c.ended = true;
+        inHand--;
+        if (c.shots == 0) {
+            return;
+        }
+        // The time calls take, as a share of the latency SLO, over the last twenty or so.
+        lateness += (Math.min(2, (now - c.from) / (double) c.product.slo()) - lateness) / 20;
+        if (lateness > 0.4) {
+            // At most a cut for each time that its effect takes to show.
+            if (now - cutAt > lateness * c.product.slo()) {
+                room = Math.max(1, room * 0.85);
+                cutAt = now;
+            }
+        } else if (inHand > 0.7 * room) {
+            room += 1 / room;
+        }
+    }
+
+    /**
+     * Danger: more comes in than the upstreams can do, all of it waits, and all of it is late. The first tier keeps as
+     * many calls in hand as were answered within two fifths of the latency SLO; further tiers hold work already paid
+     * for and turn none away.
+     */
+    private boolean crowdedOut(Call c) {
+        return settings.tier() == 0 && inHand > (c.lesser ? 0.8 : 1) * room + 1;
+    }
+
     private void cancelAllBut(Call c, int shot) {
         for (int i = 0; limit.mayCancel() && i < c.shots; i++) {
             if (c.open[i] && i != shot) {
