--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -36,7 +36,6 @@
         int shots;
         int out;
         boolean ended;
-        long from;
         boolean lesser;
         final int[] to = new int[MOST];
         final long[] at = new long[MOST];
@@ -65,10 +64,7 @@
     private final Chance chance;
     private long tokens;
     private double copies;
-    private int inHand;
-    private double room;
-    private double lateness;
-    private long cutAt;
+
     private long now;
 
     // Upstreams, under an index that an id keeps for good.
@@ -87,6 +83,10 @@
     private final int[] cursor;
     private final boolean[] left;
     private final long[] wellSince;
+    private final int[] held;
+    private final double[] room;
+    private final double[] lateness;
+    private final long[] cutAt;
     private int trialCursor;
 
     // Rule 1: one final answer before the client timeout, and nothing after it. The order matters.
@@ -113,6 +113,10 @@
         cursor = new int[groups];
         left = new boolean[groups];
         wellSince = new long[groups];
+        held = new int[groups];
+        room = new double[groups];
+        lateness = new double[groups];
+        cutAt = new long[groups];
         for (int g = 0; g < groups; g++) {
             cursor[g] = (int) (chance.next() * (1 << 20));
         }
@@ -142,7 +146,6 @@
                 entry[u] = new Entry(e.id(), State.GONE, e.startedAt(), e.cell(), e.weight(), e.zone());
             }
         }
-        int all = 0;
         for (int g = 0; g < members.length; g++) {
             int[] ready = new int[index.size()];
             int n = 0;
@@ -152,10 +155,11 @@
                 }
             }
             members[g] = Arrays.copyOf(ready, n);
-            all += n;
+            // To start with, six calls an upstream: enough for the usual answer, not enough to jam one. Other
+            // balancers own the other groups: one each for those.
+            double start = g == 0 ? 6.0 * n * settings.zones().size() / settings.instances() : n;
+            room[g] = room[g] == 0 ? start : room[g];
         }
-        // To start with, six calls an upstream: enough for the usual answer, not enough to jam one.
-        room = room == 0 ? 6.0 * all / settings.instances() : room;
     }
 
     private int learn(Entry e) {
@@ -207,9 +211,7 @@
         // Two shots unless a repeat could do harm; a further one only where a second copy may be out.
         c.most = c.product.repeat() == Repeat.NON_IDEMPOTENT ? 1 : Math.min(2, limit.mostShots());
         c.patience = (c.end - now) / c.most;
-        c.from = now;
         c.lesser = retry;
-        inHand++;
         calls.put(id, c);
         byToken.put(c.token, c);
         settle(c);
@@ -226,13 +228,16 @@
         c.neverRan[shot] = outcome.provesItNeverRan;
         c.out--;
         inFlight[u]--;
+        held[group[u]]--;
         judge(u, outcome);
+        // An error says nothing of the time an answer takes, and a shot cut short only that it takes longer.
+        if (outcome == Outcome.FULFILLED || took > lateness[group[u]] * c.product.slo()) {
+            learnRoom(group[u], c.product, took);
+        }
         if (outcome == Outcome.FULFILLED && !c.ended) {
             finish(c, () -> out.fulfilled(id, shot));
         }
-        if (closed) {
-            end(c);
-        }
+        c.ended |= closed;
         settle(c);
     }
 
@@ -254,7 +259,7 @@
         now = at;
         Call c = calls.get(id);
         if (c != null && !c.ended) {
-            end(c);
+            c.ended = true;
             cancelAllBut(c, shot);
         }
     }
@@ -263,7 +268,7 @@
         now = at;
         Call c = calls.get(id);
         if (c != null && !c.ended) {
-            end(c);
+            c.ended = true;
             cancelAllBut(c, -1);
             settle(c);
         }
@@ -353,6 +358,7 @@
         c.shots++;
         c.out++;
         inFlight[u]++;
+        held[group[u]]++;
         if (isCold(u)) {
             coldNext[u] = now + coldInterval(u);
         }
@@ -378,47 +384,44 @@
 
     private void finish(Call c, Runnable answer) {
         answer.run();
-        end(c);
+        c.ended = true;
         cancelAllBut(c, -1);
     }
 
-    private void end(Call c) {
-        if (c.ended) {
-            return;
-        }
-        c.ended = true;
-        inHand--;
-        if (c.shots == 0) {
-            return;
+    private void cancelAllBut(Call c, int shot) {
+        for (int i = 0; limit.mayCancel() && i < c.shots; i++) {
+            if (c.open[i] && i != shot) {
+                out.cancel(c.id, i);
+            }
         }
-        // The time calls take, as a share of the latency SLO, over the last twenty or so.
-        lateness += (Math.min(2, (now - c.from) / (double) c.product.slo()) - lateness) / 20;
-        if (lateness > 0.4) {
+    }
+
+    /** How long shots to a group take, as a share of the latency SLO, over the last twenty or so; its room follows. */
+    private void learnRoom(int g, Product product, double took) {
+        lateness[g] += (Math.min(2, took / product.slo()) - lateness[g]) / 20;
+        if (lateness[g] > 0.4) {
             // At most a cut for each time that its effect takes to show.
-            if (now - cutAt > lateness * c.product.slo()) {
-                room = Math.max(1, room * 0.85);
-                cutAt = now;
+            if (now - cutAt[g] > lateness[g] * product.slo()) {
+                room[g] = Math.max(1, room[g] * 0.85);
+                cutAt[g] = now;
             }
-        } else if (inHand > 0.7 * room) {
-            room += 1 / room;
+        } else if (held[g] > 0.7 * room[g]) {
+            room[g] += 1 / room[g];
         }
     }
 
     /**
-     * Danger: more comes in than the upstreams can do, all of it waits, and all of it is late. The first tier keeps as
-     * many calls in hand as were answered within two fifths of the latency SLO; further tiers hold work already paid
-     * for and turn none away.
+     * Danger: more comes in than the upstreams can do, all of it waits, and all of it is late. A group gets as many
+     * shots as it answers within two fifths of the latency SLO; what exceeds that goes to the next group, and what
+     * exceeds all is turned away by the first tier. Further tiers hold work already paid for and turn none away.
      */
     private boolean crowdedOut(Call c) {
-        return settings.tier() == 0 && inHand > (c.lesser ? 0.8 : 1) * room + 1;
-    }
-
-    private void cancelAllBut(Call c, int shot) {
-        for (int i = 0; limit.mayCancel() && i < c.shots; i++) {
-            if (c.open[i] && i != shot) {
-                out.cancel(c.id, i);
+        for (int g = 0; g < members.length; g++) {
+            if (members[g].length > 0 && held[g] < (c.lesser ? 0.8 : 1) * room[g]) {
+                return false;
             }
         }
+        return settings.tier() == 0;
     }
 
     /** Picks by rotation within the ordered groups; each level gives up one more wish, never a rule. -1 if none. */
@@ -436,7 +439,7 @@
         for (int level = 0; level < 4; level++) {
             for (int i = 0; i < members.length; i++) {
                 int g = (start + i) % members.length;
-                int n = members[g].length;
+                int n = level == 0 && held[g] >= room[g] ? 0 : members[g].length;
                 double own = 0;
                 for (int u : members[g]) {
                     own += inFlight[u];
--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -107,6 +107,10 @@
     @Test
     void theSecondShotComesAfterThePatienceAndTheLoserIsCancelled() {
         Play play = six(Play.settings(1, 0, 4, false, Scope.ALL), 1);
+        for (int i = 0; i < 10; i++) {
+            play.call("paid" + i, "read", 1000 * MS);
+            play.end("paid" + i, 0, Outcome.FULFILLED);
+        }
         play.call("c", "read", 1000 * MS);
         play.runTo(play.now + 490 * MS);
         assertEquals(1, play.calls.get("c").shots.size());
