--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -85,6 +85,7 @@
     private final long[] wellSince;
     private final int[] held;
     private final double[] room;
+    private final double[] least;
     private final double[] lateness;
     private final long[] cutAt;
     private int trialCursor;
@@ -115,6 +116,7 @@
         wellSince = new long[groups];
         held = new int[groups];
         room = new double[groups];
+        least = new double[groups];
         lateness = new double[groups];
         cutAt = new long[groups];
         for (int g = 0; g < groups; g++) {
@@ -155,10 +157,11 @@
                 }
             }
             members[g] = Arrays.copyOf(ready, n);
-            // To start with, six calls an upstream: enough for the usual answer, not enough to jam one. Other
-            // balancers own the other groups: one each for those.
-            double start = g == 0 ? 6.0 * n * settings.zones().size() / settings.instances() : n;
-            room[g] = room[g] == 0 ? start : room[g];
+            // This balancer's part: those of a zone share its upstreams, all share the others. Two calls an upstream
+            // wait for nothing but themselves; six to start with don't jam one.
+            double part = Math.min(1, (g == 0 ? settings.zones().size() : 1.0) / settings.instances());
+            least[g] = Math.max(1, 2 * n * part);
+            room[g] = room[g] == 0 ? 3 * least[g] : Math.max(room[g], least[g]);
         }
     }
 
@@ -402,7 +405,7 @@
         if (lateness[g] > 0.4) {
             // At most a cut for each time that its effect takes to show.
             if (now - cutAt[g] > lateness[g] * product.slo()) {
-                room[g] = Math.max(1, room[g] * 0.85);
+                room[g] = Math.max(least[g], room[g] * 0.85);
                 cutAt[g] = now;
             }
         } else if (held[g] > 0.7 * room[g]) {
