--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -402,7 +402,7 @@
     /** How long shots to a group take, as a share of the latency SLO, over the last twenty or so; its room follows. */
     private void learnRoom(int g, Product product, double took) {
         lateness[g] += (Math.min(2, took / product.slo()) - lateness[g]) / 20;
-        if (lateness[g] > 0.3) {
+        if (lateness[g] > 0.35) {
             // At most a cut for each time that its effect takes to show.
             if (now - cutAt[g] > lateness[g] * product.slo()) {
                 room[g] = Math.max(least[g], room[g] * 0.85);
@@ -415,7 +415,7 @@
 
     /**
      * Danger: more comes in than the upstreams can do, all of it waits, and all of it is late. A group gets as many
-     * shots as it answers within three tenths of the latency SLO; what exceeds that goes to the next group, and what
+     * shots as it answers within a third or so of the latency SLO; what exceeds that goes to the next group, and what
      * exceeds all is turned away by the first tier. Further tiers hold work already paid for and turn none away.
      */
     private boolean crowdedOut(Call c) {
