--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -74,6 +74,7 @@
     private int[] inFlight = new int[16];
     private int[] straightFailures = new int[16];
     private boolean[] sick = new boolean[16];
+    private long[] silentSince = new long[16];
     private double[] carried = new double[16];
     private long[] carriedAt = new long[16];
     private long[] coldNext = new long[16];
@@ -177,6 +178,7 @@
                 inFlight = Arrays.copyOf(inFlight, n);
                 straightFailures = Arrays.copyOf(straightFailures, n);
                 sick = Arrays.copyOf(sick, n);
+                silentSince = Arrays.copyOf(silentSince, n);
                 carried = Arrays.copyOf(carried, n);
                 carriedAt = Arrays.copyOf(carriedAt, n);
                 coldNext = Arrays.copyOf(coldNext, n);
@@ -189,6 +191,7 @@
         if (known == null || entry[u].startedAt() != e.startedAt()) {
             straightFailures[u] = 0;
             sick[u] = false;
+            silentSince[u] = Long.MAX_VALUE;
             carried[u] = 0;
             entry[u] = e;
             // Rule 4: a burst at the start could spend the whole budget, so the first turn comes late and by chance.
@@ -245,6 +248,9 @@
     }
 
     private void judge(int u, Outcome outcome) {
+        if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
+            silentSince[u] = inFlight[u] > 0 ? now : Long.MAX_VALUE;
+        }
         if (outcome == Outcome.FULFILLED) {
             straightFailures[u] = 0;
             sick[u] = false;
@@ -360,6 +366,7 @@
         c.open[c.shots] = true;
         c.shots++;
         c.out++;
+        silentSince[u] = Math.min(silentSince[u], now);
         inFlight[u]++;
         held[group[u]]++;
         if (isCold(u)) {
@@ -430,10 +437,10 @@
     /** Picks by rotation within the ordered groups; each level gives up one more wish, never a rule. -1 if none. */
     private int pick(Call c) {
         int anchor = c.anchor();
-        int start = activeGroup();
+        int start = activeGroup(c.product);
         // One in fifty first shots is a trial; never of a call that has this one shot only.
         if (c.shots == 0 && c.most > 1 && chance.next() < 1 / 50.0) {
-            int u = trial(start);
+            int u = trial(c, start);
             if (u >= 0) {
                 return u;
             }
@@ -450,7 +457,7 @@
                 double mark = Math.min(all, 1.25 * own / Math.max(1, n) + 0.5);
                 for (int k = 0; k < n; k++) {
                     int u = members[g][(cursor[g] + k) % n];
-                    if ((level > 0 || inFlight[u] <= mark) && (level > 1 || !sick[u]) && (level > 2 || !tried(c, u))
+                    if ((level > 0 || inFlight[u] <= mark) && (level > 1 || !ill(u, c.product)) && (level > 2 || !tried(c, u))
                             && dropsRepeat(c, anchor, u) && !(isCold(u) && now < coldNext[u])) {
                         cursor[g] = (cursor[g] + k + 1) % n;
                         return u;
@@ -461,11 +468,19 @@
         return -1;
     }
 
-    private int trial(int active) {
+    /**
+     * Danger: an upstream that takes calls and answers none fails nothing until they time out. With none answered for
+     * half the SLO since a shot that should have been, it counts as sick until it answers.
+     */
+    private boolean ill(int u, Product product) {
+        return sick[u] || now - product.slo() / 2 > silentSince[u];
+    }
+
+    private int trial(Call c, int active) {
         int all = index.size();
         for (int k = 1; k <= all; k++) {
             int u = (trialCursor + k) % all;
-            if (entry[u].state() == State.READY && (sick[u] || left[group[u]] && group[u] < active)
+            if (entry[u].state() == State.READY && (ill(u, c.product) || left[group[u]] && group[u] < active)
                     && !(isCold(u) && now < coldNext[u])) {
                 trialCursor = u;
                 return u;
@@ -500,12 +515,12 @@
     }
 
     /** The first group that traffic has not left: under 70% well it leaves, after 5 s above that it returns. */
-    private int activeGroup() {
+    private int activeGroup(Product product) {
         int first = -1;
         for (int g = 0; g < members.length; g++) {
             int well = 0;
             for (int u : members[g]) {
-                well += sick[u] ? 0 : 1;
+                well += ill(u, product) ? 0 : 1;
             }
             if (members[g].length == 0) {
                 continue;
--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -134,4 +134,43 @@
         play.runTo(play.now + 8000 * MS);
         assertEquals(2, play.watches);
     }
+
+    /** Danger: everything is taken and all of it is late. Past its room the first tier turns calls away at once. */
+    @Test
+    void turnsCallsAwayAtOnceWhenTheGroupsAreFullAndLate() {
+        for (int tier = 0; tier < 2; tier++) {
+            Play play = six(Play.settings(1, tier, 2, false, Scope.ALL), 1);
+            for (int i = 0; i < 400; i++) {
+                String id = "c" + i;
+                play.call(id, "read", 1000 * MS);
+                play.at(play.now + 350 * MS, () -> {
+                    if (play.calls.get(id).answer == null) {
+                        play.end(id, 0, Outcome.FULFILLED);
+                    }
+                });
+                play.runTo(play.now + 5 * MS);
+            }
+            long away = play.calls.values().stream()
+                    .filter(c -> "rate-limited".equals(c.answer) && c.answeredAt == c.from && c.advice > 0).count();
+            assertTrue(tier == 0 ? away > 100 : away == 0, away + " turned away at once on tier " + tier);
+        }
+    }
+
+    /** Danger: a hung upstream fails nothing until its shots time out, and calls go on being lost to it. */
+    @Test
+    void leavesAnUpstreamThatAnswersNothing() {
+        Play play = six(Play.settings(1, 0, 2, false, Scope.ALL), 1);
+        int lost = 0;
+        for (int i = 0; i < 400; i++) {
+            String id = "c" + i;
+            play.call(id, "once", 1000 * MS);
+            if (play.calls.get(id).shots.get(0).upstream.equals("u1")) {
+                lost++;
+            } else {
+                play.at(play.now + 30 * MS, () -> play.end(id, 0, Outcome.FULFILLED));
+            }
+            play.runTo(play.now + 10 * MS);
+        }
+        assertTrue(lost > 0 && lost < 12, lost + " calls went to the upstream that answers nothing");
+    }
 }
