--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -94,7 +94,6 @@
     // Rule 1: one final answer before the client timeout, and nothing after it. The order matters.
     private final Rule[] rules = {
         new Rule(c -> now >= c.end, this::error),
-        new Rule(c -> c.shots == 0 && crowdedOut(c), this::giveUp),
         new Rule(c -> c.shots == 0, this::shoot),
         new Rule(c -> c.out == 0 && c.anchor() < 0 && moreMayCome(c), this::shoot),
         new Rule(c -> c.out == 0 && !moreMayCome(c), this::giveUp),
@@ -422,16 +421,11 @@
 
     /**
      * Danger: more comes in than the upstreams can do, all of it waits, and all of it is late. A group gets as many
-     * shots as it answers within a third or so of the latency SLO; what exceeds that goes to the next group, and what
+     * shots as it answers in a third or so of the latency SLO; what exceeds that goes to the next group, and what
      * exceeds all is turned away by the first tier. Further tiers hold work already paid for and turn none away.
      */
-    private boolean crowdedOut(Call c) {
-        for (int g = 0; g < members.length; g++) {
-            if (members[g].length > 0 && held[g] < (c.lesser ? 0.8 : 1) * room[g]) {
-                return false;
-            }
-        }
-        return settings.tier() == 0;
+    private boolean hasRoom(Call c, int g) {
+        return held[g] < (c.lesser ? 0.8 : 1) * room[g];
     }
 
     /** Picks by rotation within the ordered groups; each level gives up one more wish, never a rule. -1 if none. */
@@ -449,7 +443,7 @@
         for (int level = 0; level < 4; level++) {
             for (int i = 0; i < members.length; i++) {
                 int g = (start + i) % members.length;
-                int n = level == 0 && held[g] >= room[g] ? 0 : members[g].length;
+                int n = (level == 0 || settings.tier() == 0) && !hasRoom(c, g) ? 0 : members[g].length;
                 double own = 0;
                 for (int u : members[g]) {
                     own += inFlight[u];
