--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -74,6 +74,7 @@
     private int[] inFlight = new int[16];
     private int[] straightFailures = new int[16];
     private boolean[] sick = new boolean[16];
+    private double[] slowness = new double[16];
     private long[] silentSince = new long[16];
     private double[] carried = new double[16];
     private long[] carriedAt = new long[16];
@@ -177,6 +178,7 @@
                 inFlight = Arrays.copyOf(inFlight, n);
                 straightFailures = Arrays.copyOf(straightFailures, n);
                 sick = Arrays.copyOf(sick, n);
+                slowness = Arrays.copyOf(slowness, n);
                 silentSince = Arrays.copyOf(silentSince, n);
                 carried = Arrays.copyOf(carried, n);
                 carriedAt = Arrays.copyOf(carriedAt, n);
@@ -191,6 +193,7 @@
             straightFailures[u] = 0;
             sick[u] = false;
             silentSince[u] = Long.MAX_VALUE;
+            slowness[u] = 0;
             carried[u] = 0;
             entry[u] = e;
             // Rule 4: a burst at the start could spend the whole budget, so the first turn comes late and by chance.
@@ -238,6 +241,9 @@
         // An error says nothing of the time an answer takes, and a shot cut short only that it takes longer.
         if (outcome == Outcome.FULFILLED || took > lateness[group[u]] * c.product.slo()) {
             learnRoom(group[u], c.product, took);
+            double share = Math.min(2, took / (double) c.product.slo());
+            // Over the last eight or so: few calls a second reach one upstream.
+            slowness[u] += (share - slowness[u]) / (slowness[u] == 0 ? 1 : 8);
         }
         if (outcome == Outcome.FULFILLED && !c.ended) {
             finish(c, () -> out.fulfilled(id, shot));
@@ -446,12 +452,12 @@
                 int n = (level == 0 || settings.tier() == 0) && !hasRoom(c, g) ? 0 : members[g].length;
                 double own = 0;
                 for (int u : members[g]) {
-                    own += inFlight[u];
+                    own += load(u);
                 }
                 double mark = Math.min(all, 1.25 * own / Math.max(1, n) + 0.5);
                 for (int k = 0; k < n; k++) {
                     int u = members[g][(cursor[g] + k) % n];
-                    if ((level > 0 || inFlight[u] <= mark) && (level > 1 || !ill(u, c.product)) && (level > 2 || !tried(c, u))
+                    if ((level > 0 || load(u) <= mark) && (level > 1 || !ill(u, c.product)) && (level > 2 || !tried(c, u))
                             && dropsRepeat(c, anchor, u) && !(isCold(u) && now < coldNext[u])) {
                         cursor[g] = (cursor[g] + k + 1) % n;
                         return u;
@@ -470,6 +476,15 @@
         return sick[u] || now - product.slo() / 2 > silentSince[u];
     }
 
+    /**
+     * Shots in flight, weighed by how much slower than its group this upstream answers. Danger: with as many calls as
+     * a fast one, a slow upstream is late with all of them. Within half and four times: few answers say little.
+     */
+    private double load(int u) {
+        double ratio = slowness[u] == 0 || lateness[group[u]] == 0 ? 1 : slowness[u] / lateness[group[u]];
+        return inFlight[u] * Math.max(0.5, Math.min(4, ratio));
+    }
+
     private int trial(Call c, int active) {
         int all = index.size();
         for (int k = 1; k <= all; k++) {
@@ -502,7 +517,7 @@
         for (int[] group : members) {
             n += group.length;
             for (int u : group) {
-                sum += inFlight[u];
+                sum += load(u);
             }
         }
         return 2 * sum / Math.max(1, n) + 1;
