--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -390,7 +390,8 @@
                 || c.product.repeat() == Repeat.DEDUPLICATED && c.product.scope() == Scope.ALL;
         finish(c, () -> {
             if (harmless) {
-                out.rateLimited(c.id, limit.retryAfter() ? limit.maxRetryAfter() : 0);
+                // Back after a quarter of the SLO: late enough for room to have come free, early enough to be in time.
+                out.rateLimited(c.id, limit.retryAfter() ? Math.min(limit.maxRetryAfter(), c.product.slo() / 4) : 0);
             } else {
                 out.errored(c.id);
             }
