--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -259,8 +259,8 @@
         if (outcome == Outcome.FULFILLED) {
             straightFailures[u] = 0;
             sick[u] = false;
-            // One copy for every ten answers, the share that the design expects to be slow and some room; ten saved.
-            copies = Math.min(10, copies + 0.1);
+            // Three copies for a hundred answers: the design expects slow ones at one in some hundreds; ten saved.
+            copies = Math.min(10, copies + 0.03);
             carried[u] = carriedNow(u) + 1;
             carriedAt[u] = now;
         } else if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
