--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -67,18 +67,7 @@
 
     private long now;
 
-    // Upstreams, under an index that an id keeps for good.
-    private final Map<String, Integer> index = new HashMap<>();
-    private Entry[] entry = new Entry[16];
-    private int[] group = new int[16];
-    private int[] inFlight = new int[16];
-    private int[] straightFailures = new int[16];
-    private boolean[] sick = new boolean[16];
-    private double[] slowness = new double[16];
-    private long[] silentSince = new long[16];
-    private double[] carried = new double[16];
-    private long[] carriedAt = new long[16];
-    private long[] coldNext = new long[16];
+    private final Figures up = new Figures();
 
     // Groups: the own zone, then the others in the order of the settings; last, those of no known zone.
     private final int[][] members;
@@ -138,22 +127,22 @@
             return;
         }
         boolean whole = news.form() != Form.CHANGES;
-        boolean[] named = new boolean[entry.length + news.entries().size()];
+        boolean[] named = new boolean[up.index.size() + news.entries().size()];
         for (Entry e : news.entries()) {
             int u = learn(e);
             named[u] = true;
         }
-        for (int u = 0; whole && u < index.size(); u++) {
-            if (!named[u] && entry[u].state() != State.GONE) {
-                Entry e = entry[u];
-                entry[u] = new Entry(e.id(), State.GONE, e.startedAt(), e.cell(), e.weight(), e.zone());
+        for (int u = 0; whole && u < up.index.size(); u++) {
+            if (!named[u] && up.entry[u].state() != State.GONE) {
+                Entry e = up.entry[u];
+                up.entry[u] = new Entry(e.id(), State.GONE, e.startedAt(), e.cell(), e.weight(), e.zone());
             }
         }
         for (int g = 0; g < members.length; g++) {
-            int[] ready = new int[index.size()];
+            int[] ready = new int[up.index.size()];
             int n = 0;
-            for (int u = 0; u < index.size(); u++) {
-                if (group[u] == g && entry[u].state() == State.READY) {
+            for (int u = 0; u < up.index.size(); u++) {
+                if (up.group[u] == g && up.entry[u].state() == State.READY) {
                     ready[n++] = u;
                 }
             }
@@ -167,39 +156,25 @@
     }
 
     private int learn(Entry e) {
-        Integer known = index.get(e.id());
-        int u = known == null ? index.size() : known;
-        if (known == null) {
-            index.put(e.id(), u);
-            if (u == entry.length) {
-                int n = u * 2;
-                entry = Arrays.copyOf(entry, n);
-                group = Arrays.copyOf(group, n);
-                inFlight = Arrays.copyOf(inFlight, n);
-                straightFailures = Arrays.copyOf(straightFailures, n);
-                sick = Arrays.copyOf(sick, n);
-                slowness = Arrays.copyOf(slowness, n);
-                silentSince = Arrays.copyOf(silentSince, n);
-                carried = Arrays.copyOf(carried, n);
-                carriedAt = Arrays.copyOf(carriedAt, n);
-                coldNext = Arrays.copyOf(coldNext, n);
-            }
+        boolean known = up.index.containsKey(e.id());
+        int u = up.of(e.id());
+        if (!known) {
             int zones = settings.zones().size();
             int zone = settings.zones().indexOf(e.zone());
             int own = Math.max(0, settings.zones().indexOf(settings.zone()));
-            group[u] = zone < 0 ? zones : (zone - own + zones) % zones;
-        }
-        if (known == null || entry[u].startedAt() != e.startedAt()) {
-            straightFailures[u] = 0;
-            sick[u] = false;
-            silentSince[u] = Long.MAX_VALUE;
-            slowness[u] = 0;
-            carried[u] = 0;
-            entry[u] = e;
+            up.group[u] = zone < 0 ? zones : (zone - own + zones) % zones;
+        }
+        if (!known || up.entry[u].startedAt() != e.startedAt()) {
+            up.straightFailures[u] = 0;
+            up.sick[u] = false;
+            up.silentSince[u] = Long.MAX_VALUE;
+            up.slowness[u] = 0;
+            up.carried[u] = 0;
+            up.entry[u] = e;
             // Rule 4: a burst at the start could spend the whole budget, so the first turn comes late and by chance.
-            coldNext[u] = isCold(u) ? now + (long) (coldInterval(u) * (0.5 + chance.next())) : 0;
+            up.coldNext[u] = isCold(u) ? now + (long) (coldInterval(u) * (0.5 + chance.next())) : 0;
         }
-        entry[u] = e;
+        up.entry[u] = e;
         return u;
     }
 
@@ -235,15 +210,15 @@
         c.open[shot] = false;
         c.neverRan[shot] = outcome.provesItNeverRan;
         c.out--;
-        inFlight[u]--;
-        held[group[u]]--;
+        up.inFlight[u]--;
+        held[up.group[u]]--;
         judge(u, outcome);
         // An error says nothing of the time an answer takes, and a shot cut short only that it takes longer.
-        if (outcome == Outcome.FULFILLED || took > lateness[group[u]] * c.product.slo()) {
-            learnRoom(group[u], c.product, took);
+        if (outcome == Outcome.FULFILLED || took > lateness[up.group[u]] * c.product.slo()) {
+            learnRoom(up.group[u], c.product, took);
             double share = Math.min(2, took / (double) c.product.slo());
             // Over the last eight or so: few calls a second reach one upstream.
-            slowness[u] += (share - slowness[u]) / (slowness[u] == 0 ? 1 : 8);
+            up.slowness[u] += (share - up.slowness[u]) / (up.slowness[u] == 0 ? 1 : 8);
         }
         if (outcome == Outcome.FULFILLED && !c.ended) {
             finish(c, () -> out.fulfilled(id, shot));
@@ -254,17 +229,17 @@
 
     private void judge(int u, Outcome outcome) {
         if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
-            silentSince[u] = inFlight[u] > 0 ? now : Long.MAX_VALUE;
+            up.silentSince[u] = up.inFlight[u] > 0 ? now : Long.MAX_VALUE;
         }
         if (outcome == Outcome.FULFILLED) {
-            straightFailures[u] = 0;
-            sick[u] = false;
+            up.straightFailures[u] = 0;
+            up.sick[u] = false;
             // Three copies for a hundred answers: the design expects slow ones at one in some hundreds; ten saved.
             copies = Math.min(10, copies + 0.03);
-            carried[u] = carriedNow(u) + 1;
-            carriedAt[u] = now;
+            up.carried[u] = carriedNow(u) + 1;
+            up.carriedAt[u] = now;
         } else if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
-            sick[u] |= ++straightFailures[u] >= 3;
+            up.sick[u] |= ++up.straightFailures[u] >= 3;
         }
     }
 
@@ -342,8 +317,8 @@
         if (anchor < 0 || c.product.repeat() == Repeat.IDEMPOTENT || c.product.scope() == Scope.ALL) {
             return true;
         }
-        Entry a = entry[c.to[anchor]];
-        Entry b = entry[u];
+        Entry a = up.entry[c.to[anchor]];
+        Entry b = up.entry[u];
         return c.product.scope() == Scope.ZONE ? a.zone().equals(b.zone()) : a.cell() == b.cell();
     }
 
@@ -371,13 +346,13 @@
         c.open[c.shots] = true;
         c.shots++;
         c.out++;
-        silentSince[u] = Math.min(silentSince[u], now);
-        inFlight[u]++;
-        held[group[u]]++;
+        up.silentSince[u] = Math.min(up.silentSince[u], now);
+        up.inFlight[u]++;
+        held[up.group[u]]++;
         if (isCold(u)) {
-            coldNext[u] = now + coldInterval(u);
+            up.coldNext[u] = now + coldInterval(u);
         }
-        out.shot(c.id, entry[u].id(), c.end - now);
+        out.shot(c.id, up.entry[u].id(), c.end - now);
     }
 
     private void error(Call c) {
@@ -459,7 +434,7 @@
                 for (int k = 0; k < n; k++) {
                     int u = members[g][(cursor[g] + k) % n];
                     if ((level > 0 || load(u) <= mark) && (level > 1 || !ill(u, c.product)) && (level > 2 || !tried(c, u))
-                            && dropsRepeat(c, anchor, u) && !(isCold(u) && now < coldNext[u])) {
+                            && dropsRepeat(c, anchor, u) && !(isCold(u) && now < up.coldNext[u])) {
                         cursor[g] = (cursor[g] + k + 1) % n;
                         return u;
                     }
@@ -474,7 +449,7 @@
      * half the SLO since a shot that should have been, it counts as sick until it answers.
      */
     private boolean ill(int u, Product product) {
-        return sick[u] || now - product.slo() / 2 > silentSince[u];
+        return up.sick[u] || now - product.slo() / 2 > up.silentSince[u];
     }
 
     /**
@@ -482,16 +457,16 @@
      * a fast one, a slow upstream is late with all of them. Within half and four times: few answers say little.
      */
     private double load(int u) {
-        double ratio = slowness[u] == 0 || lateness[group[u]] == 0 ? 1 : slowness[u] / lateness[group[u]];
-        return inFlight[u] * Math.max(0.5, Math.min(4, ratio));
+        double ratio = up.slowness[u] == 0 || lateness[up.group[u]] == 0 ? 1 : up.slowness[u] / lateness[up.group[u]];
+        return up.inFlight[u] * Math.max(0.5, Math.min(4, ratio));
     }
 
     private int trial(Call c, int active) {
-        int all = index.size();
+        int all = up.index.size();
         for (int k = 1; k <= all; k++) {
             int u = (trialCursor + k) % all;
-            if (entry[u].state() == State.READY && (ill(u, c.product) || left[group[u]] && group[u] < active)
-                    && !(isCold(u) && now < coldNext[u])) {
+            if (up.entry[u].state() == State.READY && (ill(u, c.product) || left[up.group[u]] && up.group[u] < active)
+                    && !(isCold(u) && now < up.coldNext[u])) {
                 trialCursor = u;
                 return u;
             }
@@ -551,12 +526,12 @@
     }
 
     private boolean isCold(int u) {
-        return entry[u].startedAt() > 0 && now - entry[u].startedAt() < settings.rules().cold();
+        return up.entry[u].startedAt() > 0 && now - up.entry[u].startedAt() < settings.rules().cold();
     }
 
     /** Rates fade over a quarter of the cold time: long enough for a few calls, short enough to follow the load. */
     private double carriedNow(int u) {
-        return carried[u] * Math.exp(-(now - carriedAt[u]) / Math.max(1, settings.rules().cold() / 4.0));
+        return up.carried[u] * Math.exp(-(now - up.carriedAt[u]) / Math.max(1, settings.rules().cold() / 4.0));
     }
 
     /**
@@ -566,8 +541,8 @@
      */
     private long coldInterval(int u) {
         double seconds = settings.rules().cold() / 4e9;
-        double rate = Math.max(warmRate(group[u]) / seconds, 1.0 / settings.instances());
-        double age = Math.min(1, (now - entry[u].startedAt()) / (double) settings.rules().cold());
+        double rate = Math.max(warmRate(up.group[u]) / seconds, 1.0 / settings.instances());
+        double age = Math.min(1, (now - up.entry[u].startedAt()) / (double) settings.rules().cold());
         double share = settings.rules().coldShare() + (1 - settings.rules().coldShare()) * age;
         return (long) (1e9 / (rate * share * 0.3 * settings.rules().fallMultiple()));
     }
@@ -576,9 +551,9 @@
         double sum = 0;
         int n = 0;
         for (int own = 1; own >= 0 && n == 0; own--) {
-            for (int u = 0; u < index.size(); u++) {
-                if (entry[u] != null && entry[u].state() == State.READY && !isCold(u)
-                        && (own == 0 || group[u] == preferred)) {
+            for (int u = 0; u < up.index.size(); u++) {
+                if (up.entry[u] != null && up.entry[u].state() == State.READY && !isCold(u)
+                        && (own == 0 || up.group[u] == preferred)) {
                     sum += carriedNow(u);
                     n++;
                 }
