--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -80,6 +80,7 @@
     private final double[] lateness;
     private final long[] cutAt;
     private int trialCursor;
+    private boolean anyWell;
 
     // Rule 1: one final answer before the client timeout, and nothing after it. The order matters.
     private final Rule[] rules = {
@@ -422,7 +423,10 @@
             }
         }
         double all = crowdMark();
-        for (int level = 0; level < 4; level++) {
+        // Danger: with all rooms taken, a lost zone's upstreams have room, and every shot past it fails there. The
+        // first tier tries sick ones (but for trials) only when none is well.
+        int levels = settings.tier() == 0 && anyWell ? 2 : 4;
+        for (int level = 0; level < levels; level++) {
             for (int i = 0; i < members.length; i++) {
                 int g = (start + i) % members.length;
                 int n = (level == 0 || settings.tier() == 0) && !hasRoom(c, g) ? 0 : members[g].length;
@@ -502,6 +506,7 @@
     /** The first group that traffic has not left: under 70% well it leaves, after 5 s above that it returns. */
     private int activeGroup(Product product) {
         int first = -1;
+        anyWell = false;
         for (int g = 0; g < members.length; g++) {
             int well = 0;
             for (int u : members[g]) {
@@ -518,6 +523,7 @@
                 wellSince[g] = Math.min(wellSince[g], now);
                 left[g] = now - wellSince[g] < 5_000_000_000L;
             }
+            anyWell |= well > 0;
             if (!left[g]) {
                 return g;
             }
