--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -148,11 +148,11 @@
                 }
             }
             members[g] = Arrays.copyOf(ready, n);
-            // This balancer's part: those of a zone share its upstreams, all share the others. Two calls an upstream
-            // wait for nothing but themselves; six to start with don't jam one.
+            // This balancer's part: those of a zone share its upstreams, all share the others. Three calls an
+            // upstream hardly wait, as part of their time is spent a tier below; six to start with don't jam one.
             double part = Math.min(1, (g == 0 ? settings.zones().size() : 1.0) / settings.instances());
-            least[g] = Math.max(1, 2 * n * part);
-            room[g] = room[g] == 0 ? 3 * least[g] : Math.max(room[g], least[g]);
+            least[g] = Math.max(1, 3 * n * part);
+            room[g] = room[g] == 0 ? 2 * least[g] : Math.max(room[g], least[g]);
         }
     }
 
