--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -209,7 +209,7 @@
                 lost++;
                 play.end(id, 0, Outcome.UNREACHABLE);
             } else if (!shots.isEmpty()) {
-                play.at(play.now + 300 * MS, () -> play.end(id, 0, Outcome.FULFILLED));
+                play.at(play.now + 150 * MS, () -> play.end(id, 0, Outcome.FULFILLED));
             }
             play.runTo(play.now + 5 * MS);
         }
--- a/src/test/java/gorsestack/decision/Play.java
+++ b/src/test/java/gorsestack/decision/Play.java
@@ -57,7 +57,7 @@
     }
 
     static Product product(String name, Repeat repeat, Scope scope) {
-        return new Product(name, repeat, scope, 600 * MS, 400 * MS, 1000 * MS, 2, 0.3, false);
+        return new Product(name, repeat, scope, 300 * MS, 400 * MS, 1000 * MS, 2, 0.3, false);
     }
 
     static Settings settings(int instances, int tier, int mostShots, boolean ask, Scope scope) {
