--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -390,7 +390,9 @@
 
     /** How long shots to a group take, as a share of the latency SLO, over the last twenty or so; its room follows. */
     private void learnRoom(int g, Product product, double took) {
-        lateness[g] += (Math.min(2, took / product.slo()) - lateness[g]) / 20;
+        // Cut off at four times the mean: a few hung upstreams, here or a tier below, are no crowd.
+        double share = Math.min(Math.max(0.1, 4 * lateness[g]), Math.min(2, took / product.slo()));
+        lateness[g] += (share - lateness[g]) / 20;
         if (lateness[g] > 0.35) {
             // At most a cut for each time that its effect takes to show.
             if (now - cutAt[g] > lateness[g] * product.slo()) {
