--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -13,15 +13,16 @@
 import java.util.function.Predicate;
 
 /**
- * All decisions of one balancer. Make one for each balancer, tell it whatever happens through the public methods,
- * with the clock in nanoseconds, never going back; it acts through Outgoing before the method returns. Settings,
- * Upstreams and Outcome say what goes in, Outgoing what comes out; all four stand in this package and know no protocol.
- * Each input touches some API calls; for each of those the rules in RULES are gone through in order, again and again,
- * until none fires. docs/design.md tells what is kept of the design and when each departure acts.
+ * All decisions of one balancer. Make one for each balancer, tell it whatever happens through the public
+ * methods, with the clock in nanoseconds, never going back; it acts through Outgoing before the method
+ * returns. Settings, Upstreams and Outcome say what goes in, Outgoing what comes out; all four stand in this
+ * package and know no protocol. Each input touches some API calls; for each of those the list of rules below
+ * is gone through in order, again and again, until none fires. docs/design.md tells what is kept of the
+ * design and when each departure acts.
  */
 public final class Choice {
 
-    /** No call needs more shots, whatever the settings allow: eight proven not run mean that nothing is there. */
+    /** Whatever the settings allow: eight shots proven not run mean that nothing is there. */
     private static final int MOST = 8;
 
     private static final class Call {
@@ -114,7 +115,8 @@
             cursor[g] = (int) (chance.next() * (1 << 20));
         }
         if (settings.asksForList()) {
-            // All balancers start together and the list is one small service: spread the first call over a fifth.
+            // All balancers start together and the list is one small service: spread the first call over a
+            // fifth.
             out.wake(0, now + (long) (chance.next() * settings.rules().askWithin() / 5));
         }
     }
@@ -122,8 +124,8 @@
     public void upstreams(long at, Upstreams news) {
         now = at;
         if (news.form() == Form.FAILED) {
-            // Danger: untold of a drain for good. Asked again within the time after which it is deemed told, and
-            // spread, so that repeats don't sink the list service.
+            // Danger: untold of a drain for good. Asked again within the time after which it is deemed told,
+            // and spread, so that repeats don't sink the list service.
             out.wake(0, now + (long) ((0.2 + 0.4 * chance.next()) * settings.rules().askWithin()));
             return;
         }
@@ -149,7 +151,8 @@
             }
             members[g] = Arrays.copyOf(ready, n);
             // This balancer's part: those of a zone share its upstreams, all share the others. Three calls an
-            // upstream hardly wait, as part of their time is spent a tier below; six to start with don't jam one.
+            // upstream hardly wait, as part of their time is spent a tier below; six to start with don't jam
+            // one.
             double part = Math.min(1, (g == 0 ? settings.zones().size() : 1.0) / settings.instances());
             least[g] = Math.max(1, 3 * n * part);
             room[g] = room[g] == 0 ? 2 * least[g] : Math.max(room[g], least[g]);
@@ -172,7 +175,8 @@
             up.slowness[u] = 0;
             up.carried[u] = 0;
             up.entry[u] = e;
-            // Rule 4: a burst at the start could spend the whole budget, so the first turn comes late and by chance.
+            // Rule 4: a burst at the start could spend the whole budget, so the first turn comes late and by
+            // chance.
             up.coldNext[u] = isCold(u) ? now + (long) (coldInterval(u) * (0.5 + chance.next())) : 0;
         }
         up.entry[u] = e;
@@ -235,7 +239,8 @@
         if (outcome == Outcome.FULFILLED) {
             up.straightFailures[u] = 0;
             up.sick[u] = false;
-            // Three copies for a hundred answers: the design expects slow ones at one in some hundreds; ten saved.
+            // Three copies for a hundred answers: the design expects slow ones at one in some hundreds; ten
+            // saved.
             copies = Math.min(10, copies + 0.03);
             up.carried[u] = carriedNow(u) + 1;
             up.carriedAt[u] = now;
@@ -323,7 +328,7 @@
         return c.product.scope() == Scope.ZONE ? a.zone().equals(b.zone()) : a.cell() == b.cell();
     }
 
-    /** Danger: when everything is slow every timer trips, and copies that nobody can pay for slow it further. */
+    /** Danger: when all is slow every timer trips, and the copies slow it further. */
     private void copy(Call c) {
         if (copies >= 1) {
             copies--;
@@ -366,8 +371,10 @@
                 || c.product.repeat() == Repeat.DEDUPLICATED && c.product.scope() == Scope.ALL;
         finish(c, () -> {
             if (harmless) {
-                // Back after a quarter of the SLO: late enough for room to have come free, early enough to be in time.
-                out.rateLimited(c.id, limit.retryAfter() ? Math.min(limit.maxRetryAfter(), c.product.slo() / 4) : 0);
+                // Back after a quarter of the SLO: late enough for room to have come free, early enough to be
+                // in time.
+                long back = Math.min(limit.maxRetryAfter(), c.product.slo() / 4);
+                out.rateLimited(c.id, limit.retryAfter() ? back : 0);
             } else {
                 out.errored(c.id);
             }
@@ -388,7 +395,7 @@
         }
     }
 
-    /** How long shots to a group take, as a share of the latency SLO, over the last twenty or so; its room follows. */
+    /** How long shots to a group take, as a share of the SLO, over the last twenty or so. */
     private void learnRoom(int g, Product product, double took) {
         // Cut off at four times the mean: a few hung upstreams, here or a tier below, are no crowd.
         double share = Math.min(Math.max(0.1, 4 * lateness[g]), Math.min(2, took / product.slo()));
@@ -405,15 +412,16 @@
     }
 
     /**
-     * Danger: more comes in than the upstreams can do, all of it waits, and all of it is late. A group gets as many
-     * shots as it answers in a third or so of the latency SLO; what exceeds that goes to the next group, and what
-     * exceeds all is turned away by the first tier. Further tiers hold work already paid for and turn none away.
+     * Danger: more comes in than the upstreams can do, all of it waits, and all of it is late. A group gets
+     * as many shots as it answers in a third or so of the latency SLO; what exceeds that goes to the next
+     * group, and what exceeds all is turned away by the first tier. Further tiers hold work already paid for
+     * and turn none away.
      */
     private boolean hasRoom(Call c, int g) {
         return held[g] < (c.lesser ? 0.8 : 1) * room[g];
     }
 
-    /** Picks by rotation within the ordered groups; each level gives up one more wish, never a rule. -1 if none. */
+    /** Picks by rotation in the ordered groups; each level gives up a wish, never a rule. -1 if none. */
     private int pick(Call c) {
         int anchor = c.anchor();
         int start = activeGroup(c.product);
@@ -425,8 +433,8 @@
             }
         }
         double all = crowdMark();
-        // Danger: with all rooms taken, a lost zone's upstreams have room, and every shot past it fails there. The
-        // first tier tries sick ones (but for trials) only when none is well.
+        // Danger: with all rooms taken, a lost zone's upstreams have room, and every shot past it fails
+        // there. The first tier tries sick ones (but for trials) only when none is well.
         int levels = settings.tier() == 0 && anyWell ? 2 : 4;
         for (int level = 0; level < levels; level++) {
             for (int i = 0; i < members.length; i++) {
@@ -439,7 +447,8 @@
                 double mark = Math.min(all, 1.25 * own / Math.max(1, n) + 0.5);
                 for (int k = 0; k < n; k++) {
                     int u = members[g][(cursor[g] + k) % n];
-                    if ((level > 0 || load(u) <= mark) && (level > 1 || !ill(u, c.product)) && (level > 2 || !tried(c, u))
+                    if ((level > 0 || load(u) <= mark) && (level > 1 || !ill(u, c.product))
+                            && (level > 2 || !tried(c, u))
                             && dropsRepeat(c, anchor, u) && !(isCold(u) && now < up.coldNext[u])) {
                         cursor[g] = (cursor[g] + k + 1) % n;
                         return u;
@@ -451,19 +460,21 @@
     }
 
     /**
-     * Danger: an upstream that takes calls and answers none fails nothing until they time out. With none answered for
-     * half the SLO since a shot that should have been, it counts as sick until it answers.
+     * Danger: an upstream that takes calls and answers none fails nothing until they time out. With none
+     * answered for half the SLO since a shot that should have been, it counts as sick until it answers.
      */
     private boolean ill(int u, Product product) {
         return up.sick[u] || now - product.slo() / 2 > up.silentSince[u];
     }
 
     /**
-     * Shots in flight, weighed by how much slower than its group this upstream answers. Danger: with as many calls as
-     * a fast one, a slow upstream is late with all of them. Within half and four times: few answers say little.
+     * Shots in flight, weighed by how much slower than its group this upstream answers. Danger: with as many
+     * calls as a fast one, a slow upstream is late with all of them. Within half and four times: few answers
+     * say little.
      */
     private double load(int u) {
-        double ratio = up.slowness[u] == 0 || lateness[up.group[u]] == 0 ? 1 : up.slowness[u] / lateness[up.group[u]];
+        double mean = lateness[up.group[u]];
+        double ratio = up.slowness[u] == 0 || mean == 0 ? 1 : up.slowness[u] / mean;
         return up.inFlight[u] * Math.max(0.5, Math.min(4, ratio));
     }
 
@@ -471,7 +482,8 @@
         int all = up.index.size();
         for (int k = 1; k <= all; k++) {
             int u = (trialCursor + k) % all;
-            if (up.entry[u].state() == State.READY && (ill(u, c.product) || left[up.group[u]] && up.group[u] < active)
+            int g = up.group[u];
+            if (up.entry[u].state() == State.READY && (ill(u, c.product) || left[g] && g < active)
                     && !(isCold(u) && now < up.coldNext[u])) {
                 trialCursor = u;
                 return u;
@@ -490,8 +502,9 @@
     }
 
     /**
-     * Well above this balancer's mean in flight over all groups: twice that, and one so that few calls are no crowd.
-     * Danger: a zone with more traffic than its own upstreams carry; a crowded group passes calls to the next.
+     * Well above this balancer's mean in flight over all groups: twice that, and one so that few calls are no
+     * crowd. Danger: a zone with more traffic than its own upstreams carry; a crowded group passes calls to
+     * the next.
      */
     private double crowdMark() {
         double sum = 0;
@@ -505,7 +518,7 @@
         return 2 * sum / Math.max(1, n) + 1;
     }
 
-    /** The first group that traffic has not left: under 70% well it leaves, after 5 s above that it returns. */
+    /** The first group that traffic has not left: left under 70% well, back after 5 s above that. */
     private int activeGroup(Product product) {
         int first = -1;
         anyWell = false;
@@ -537,15 +550,16 @@
         return up.entry[u].startedAt() > 0 && now - up.entry[u].startedAt() < settings.rules().cold();
     }
 
-    /** Rates fade over a quarter of the cold time: long enough for a few calls, short enough to follow the load. */
+    /** Rates fade over a quarter of the cold time: a few calls long, and it follows the load. */
     private double carriedNow(int u) {
-        return up.carried[u] * Math.exp(-(now - up.carriedAt[u]) / Math.max(1, settings.rules().cold() / 4.0));
+        double quarter = Math.max(1, settings.rules().cold() / 4.0);
+        return up.carried[u] * Math.exp((up.carriedAt[u] - now) / quarter);
     }
 
     /**
-     * Rule 4: the time between this balancer's shots to a cold upstream. What a warm peer of its group (else any)
-     * carries of this balancer's, times the share it can do by now, at 0.3 of the allowed multiple: the rest is room
-     * for chance. With nothing learnt, a call a second by all balancers together.
+     * Rule 4: the time between this balancer's shots to a cold upstream. What a warm peer of its group (else
+     * any) carries of this balancer's, times the share it can do by now, at 0.3 of the allowed multiple: the
+     * rest is room for chance. With nothing learnt, a call a second by all balancers together.
      */
     private long coldInterval(int u) {
         double seconds = settings.rules().cold() / 4e9;
--- a/src/main/java/gorsestack/decision/Outgoing.java
+++ b/src/main/java/gorsestack/decision/Outgoing.java
@@ -1,6 +1,8 @@
 package gorsestack.decision;
 
-/** What a balancer does to the world. One protocol's adapter implements it; every call takes effect at once. */
+/**
+ * What a balancer does to the world. One protocol's adapter implements it; every call takes effect at once.
+ */
 public interface Outgoing {
 
     /** Sends the call's next shot, numbered from 0, to give up after that many nanoseconds. */
--- a/src/main/java/gorsestack/decision/Settings.java
+++ b/src/main/java/gorsestack/decision/Settings.java
@@ -2,19 +2,18 @@
 
 import java.util.List;
 
-/** What a balancer is told at its start, in nanoseconds where a figure is a time. Only what the module reads. */
+/**
+ * What a balancer is told at its start, in nanoseconds where a figure is a time. Only what the module reads.
+ */
 public record Settings(
         int instances,
         int tier,
         String zone,
         List<String> zones,
         List<Product> products,
-        List<Tenant> tenants,
         Limits limits,
         Rules rules,
         boolean asksForList,
-        boolean nominalWeights,
-        boolean clientsMarkRetries,
         long step) {
 
     public enum Repeat { IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT }
@@ -22,13 +21,11 @@
     /** Which upstreams drop a repeat of a deduplicated call. */
     public enum Scope { ALL, ZONE, CELL }
 
-    public record Product(String name, Repeat repeat, Scope scope, long repeatWindow, long slo, long clientTimeout,
-            double billedValue, double lateBilledValue, boolean streamed) { }
-
-    public record Tenant(String name, double allowancePerSecond) { }
+    public record Product(String name, Repeat repeat, Scope scope, long repeatWindow, long slo,
+            long clientTimeout) { }
 
     public record Limits(int mostShots, boolean mayCancel, boolean secondCopies, boolean retryAfter,
-            long maxRetryAfter, boolean probing) { }
+            long maxRetryAfter) { }
 
-    public record Rules(long askWithin, long cold, double coldShare, double fallMultiple, long fall) { }
+    public record Rules(long askWithin, long cold, double coldShare, double fallMultiple) { }
 }
--- a/src/main/java/gorsestack/decision/Upstreams.java
+++ b/src/main/java/gorsestack/decision/Upstreams.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
-/** News of the upstreams, as discovery tells it: a whole list, a change to the list held, or a failure to get one. */
+/**
+ * News of the upstreams, as discovery tells it: a whole list, a change to the list held, or a failure to get
+ * one.
+ */
 public record Upstreams(Form form, List<Entry> entries) {
 
     public enum Form { CACHED, FULL, CHANGES, FAILED }
--- a/src/main/java/gorsestack/simhost/Row.java
+++ b/src/main/java/gorsestack/simhost/Row.java
@@ -4,7 +4,10 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 
-/** Reads the values of one message in order, straight from the parser; what a message carries beyond them is skipped. */
+/**
+ * Reads the values of one message in order, straight from the parser; what a message carries beyond them is
+ * skipped.
+ */
 final class Row {
     private final JsonParser in;
     private String message;
--- a/src/main/java/gorsestack/simhost/SettingsReader.java
+++ b/src/main/java/gorsestack/simhost/SettingsReader.java
@@ -7,7 +7,6 @@
 import gorsestack.decision.Settings.Repeat;
 import gorsestack.decision.Settings.Rules;
 import gorsestack.decision.Settings.Scope;
-import gorsestack.decision.Settings.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -29,23 +28,17 @@
         for (JsonNode product : info.path("products")) {
             products.add(product(product));
         }
-        List<Tenant> tenants = new ArrayList<>();
-        for (JsonNode tenant : info.path("tenants")) {
-            tenants.add(new Tenant(tenant.path("name").asText(), tenant.path("allowancePerS").asDouble(0)));
-        }
         JsonNode limits = info.path("limits");
         JsonNode rules = info.path("rules");
         return new Settings(info.path("replicasOfMe").asInt(1), info.path("tier").asInt(0),
-                info.path("az").asText(""), zones, products, tenants,
+                info.path("az").asText(""), zones, products,
                 new Limits(shots(limits), limits.path("mayCancel").asBoolean(false),
-                        limits.path("secondCopies").asBoolean(false), limits.path("retryAfter").asBoolean(false),
-                        nanos(limits, "maxRetryAfter", 0), limits.path("probing").asBoolean(false)),
+                        limits.path("secondCopies").asBoolean(false),
+                        limits.path("retryAfter").asBoolean(false),
+                        nanos(limits, "maxRetryAfter", 0)),
                 new Rules(nanos(rules, "askWithin", 0), nanos(rules, "cold", 0),
-                        rules.path("coldShare").asDouble(1), rules.path("fallMultiple").asDouble(1),
-                        nanos(rules, "fall", 1000)),
-                info.path("membershipMode").asText("").equals("subscribe"),
-                info.path("weightSource").asText("none").equals("nominal"),
-                info.path("clientHabits").path("marksRetry").asBoolean(false), nanos(info, "step", 1));
+                        rules.path("coldShare").asDouble(1), rules.path("fallMultiple").asDouble(1)),
+                info.path("membershipMode").asText("").equals("subscribe"), nanos(info, "step", 1));
     }
 
     private static int shots(JsonNode limits) {
@@ -74,9 +67,7 @@
             default -> Scope.CELL;
         };
         return new Product(name, repeat, scope, nanos(node, "repeatWindow", 0),
-                Math.min(timeout, nanos(node, "latencySlo", timeout)), timeout,
-                node.path("billedValue").asDouble(1), node.path("lateBilledValue").asDouble(0),
-                node.path("streamed").asBoolean(false));
+                Math.min(timeout, nanos(node, "latencySlo", SimHost.millis(timeout))), timeout);
     }
 
     private static long nanos(JsonNode node, String key, double absentMs) {
--- a/src/test/java/gorsestack/decision/Play.java
+++ b/src/test/java/gorsestack/decision/Play.java
@@ -5,7 +5,6 @@
 import gorsestack.decision.Settings.Repeat;
 import gorsestack.decision.Settings.Rules;
 import gorsestack.decision.Settings.Scope;
-import gorsestack.decision.Settings.Tenant;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -57,15 +56,15 @@
     }
 
     static Product product(String name, Repeat repeat, Scope scope) {
-        return new Product(name, repeat, scope, 300 * MS, 400 * MS, 1000 * MS, 2, 0.3, false);
+        return new Product(name, repeat, scope, 300 * MS, 400 * MS, 1000 * MS);
     }
 
     static Settings settings(int instances, int tier, int mostShots, boolean ask, Scope scope) {
         return new Settings(instances, tier, "a", List.of("a", "b"), List.of(
                 product("read", Repeat.IDEMPOTENT, Scope.ALL), product("mark", Repeat.DEDUPLICATED, scope),
-                product("once", Repeat.NON_IDEMPOTENT, Scope.ALL)), List.of(new Tenant("t", 50)),
-                new Limits(mostShots, true, true, true, 500 * MS, false),
-                new Rules(10_000 * MS, 20_000 * MS, 0.15, 2.5, 1000 * MS), ask, false, true, MS);
+                product("once", Repeat.NON_IDEMPOTENT, Scope.ALL)),
+                new Limits(mostShots, true, true, true, 500 * MS),
+                new Rules(10_000 * MS, 20_000 * MS, 0.15, 2.5), ask, MS);
     }
 
     static Upstreams.Entry entry(String id, Upstreams.State state, long startedAt, int cell, String zone) {
