--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -215,4 +215,20 @@
         }
         assertTrue(lost > 0 && lost < 20, lost + " calls went to the lost zone");
     }
+
+    /** Danger: a few shots that hang lift the mean of a group that is quick, and its room shrinks to the least. */
+    @Test
+    void aFewHungShotsDoNotShrinkTheRoom() {
+        Play play = six(Play.settings(1, 0, 1, false, Scope.ALL), 1);
+        for (int i = 0; i < 2000; i++) {
+            String id = "c" + i;
+            play.call(id, "once", 700 * MS);
+            if (i % 10 > 0 && play.calls.get(id).answer == null) {
+                play.at(play.now + 50 * MS, () -> play.end(id, 0, Outcome.FULFILLED));
+            }
+            play.runTo(play.now + 3 * MS);
+        }
+        long away = play.calls.values().stream().filter(c -> "rate-limited".equals(c.answer)).count();
+        assertTrue(away < 100, away + " turned away");
+    }
 }
