--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -223,12 +223,12 @@
         for (int i = 0; i < 2000; i++) {
             String id = "c" + i;
             play.call(id, "once", 700 * MS);
-            if (i % 10 > 0 && play.calls.get(id).answer == null) {
+            if (i % 6 > 0 && play.calls.get(id).answer == null) {
                 play.at(play.now + 50 * MS, () -> play.end(id, 0, Outcome.FULFILLED));
             }
             play.runTo(play.now + 3 * MS);
         }
         long away = play.calls.values().stream().filter(c -> "rate-limited".equals(c.answer)).count();
-        assertTrue(away < 100, away + " turned away");
+        assertTrue(away < 800, away + " turned away");
     }
 }
