--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -233,9 +233,10 @@
     }
 
     private void judge(int u, Outcome outcome) {
-        if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
-            up.silentSince[u] = up.inFlight[u] > 0 ? now : Long.MAX_VALUE;
+        if (outcome == Outcome.CANCELLED || outcome == Outcome.NOT_SENT) {
+            return;
         }
+        up.silentSince[u] = up.inFlight[u] > 0 ? now : Long.MAX_VALUE;
         if (outcome == Outcome.FULFILLED) {
             up.straightFailures[u] = 0;
             up.sick[u] = false;
@@ -244,7 +245,7 @@
             copies = Math.min(10, copies + 0.03);
             up.carried[u] = carriedNow(u) + 1;
             up.carriedAt[u] = now;
-        } else if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
+        } else {
             up.sick[u] |= ++up.straightFailures[u] >= 3;
         }
     }
@@ -449,7 +450,7 @@
                     int u = members[g][(cursor[g] + k) % n];
                     if ((level > 0 || load(u) <= mark) && (level > 1 || !ill(u, c.product))
                             && (level > 2 || !tried(c, u))
-                            && dropsRepeat(c, anchor, u) && !(isCold(u) && now < up.coldNext[u])) {
+                            && dropsRepeat(c, anchor, u) && hasTurn(u)) {
                         cursor[g] = (cursor[g] + k + 1) % n;
                         return u;
                     }
@@ -484,7 +485,7 @@
             int u = (trialCursor + k) % all;
             int g = up.group[u];
             if (up.entry[u].state() == State.READY && (ill(u, c.product) || left[g] && g < active)
-                    && !(isCold(u) && now < up.coldNext[u])) {
+                    && hasTurn(u)) {
                 trialCursor = u;
                 return u;
             }
@@ -546,6 +547,11 @@
         return Math.max(0, first);
     }
 
+    /** Rule 4: a cold upstream is sent nothing before its next turn. */
+    private boolean hasTurn(int u) {
+        return !isCold(u) || now >= up.coldNext[u];
+    }
+
     private boolean isCold(int u) {
         return up.entry[u].startedAt() > 0 && now - up.entry[u].startedAt() < settings.rules().cold();
     }
--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -143,11 +143,7 @@
             for (int i = 0; i < 400; i++) {
                 String id = "c" + i;
                 play.call(id, "read", 1000 * MS);
-                play.at(play.now + 350 * MS, () -> {
-                    if (play.calls.get(id).answer == null) {
-                        play.end(id, 0, Outcome.FULFILLED);
-                    }
-                });
+                play.fulfilLater(id, 350 * MS);
                 play.runTo(play.now + 5 * MS);
             }
             long away = play.calls.values().stream()
@@ -167,7 +163,7 @@
             if (play.calls.get(id).shots.get(0).upstream.equals("u1")) {
                 lost++;
             } else {
-                play.at(play.now + 30 * MS, () -> play.end(id, 0, Outcome.FULFILLED));
+                play.fulfilLater(id, 30 * MS);
             }
             play.runTo(play.now + 10 * MS);
         }
@@ -185,11 +181,7 @@
         for (int i = 0; i < 400; i++) {
             String id = "c" + i;
             play.call(id, "once", 1000 * MS);
-            play.at(play.now + 600 * MS, () -> {
-                if (play.calls.get(id).answer == null) {
-                    play.end(id, 0, Outcome.FULFILLED);
-                }
-            });
+            play.fulfilLater(id, 600 * MS);
             play.runTo(play.now + 5 * MS);
             most = Math.max(most, (int) play.calls.values().stream().filter(c -> c.answer == null).count());
         }
@@ -208,8 +200,8 @@
             if (!shots.isEmpty() && shots.get(0).upstream.compareTo("u3") >= 0) {
                 lost++;
                 play.end(id, 0, Outcome.UNREACHABLE);
-            } else if (!shots.isEmpty()) {
-                play.at(play.now + 150 * MS, () -> play.end(id, 0, Outcome.FULFILLED));
+            } else {
+                play.fulfilLater(id, 150 * MS);
             }
             play.runTo(play.now + 5 * MS);
         }
@@ -223,8 +215,8 @@
         for (int i = 0; i < 2000; i++) {
             String id = "c" + i;
             play.call(id, "once", 700 * MS);
-            if (i % 6 > 0 && play.calls.get(id).answer == null) {
-                play.at(play.now + 50 * MS, () -> play.end(id, 0, Outcome.FULFILLED));
+            if (i % 6 > 0) {
+                play.fulfilLater(id, 50 * MS);
             }
             play.runTo(play.now + 3 * MS);
         }
--- a/src/test/java/gorsestack/decision/Play.java
+++ b/src/test/java/gorsestack/decision/Play.java
@@ -113,6 +113,15 @@
         }
     }
 
+    /** The call's first shot succeeds after that time, unless the call has had its answer by then. */
+    void fulfilLater(String id, long after) {
+        at(now + after, () -> {
+            if (calls.get(id).answer == null) {
+                end(id, 0, Outcome.FULFILLED);
+            }
+        });
+    }
+
     private void wrong(String what, ApiCall c) {
         wrongs.add(what + " for " + c.id + " (" + c.product.name() + ") at " + (now - c.from) / MS + " ms");
     }
