--- a/src/main/java/gorsestack/Main.java
+++ b/src/main/java/gorsestack/Main.java
@@ -1,13 +1,17 @@
 package gorsestack;
 
+import gorsestack.serve.Service;
 import gorsestack.simhost.SimHost;
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 
 /** The command line. */
 @Command(name = "gorsestack", mixinStandardHelpOptions = true, version = "gorsestack 0.1.0",
-        description = "A load balancer for services that call services.", subcommands = Main.Simhost.class)
+        description = "A load balancer for services that call services.", subcommands = {Main.Serve.class, Main.Simhost.class})
 public final class Main implements Callable<Integer> {
 
     public static void main(String[] args) {
@@ -28,4 +32,26 @@
             return new SimHost(System.in, System.out, System.err).run();
         }
     }
+
+    @Command(name = "serve", mixinStandardHelpOptions = true,
+            description = "Runs one balancer on sockets until it is told to end.")
+    static final class Serve implements Callable<Integer> {
+        @Option(names = "--config", defaultValue = "${env:ROUTER_CONFIG}", paramLabel = "FILE", required = true,
+                description = "the balancer's configuration; by default what ROUTER_CONFIG names")
+        private Path config;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            System.setProperty("java.util.logging.SimpleFormatter.format",
+                    "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
+            try {
+                Service.start(config);
+            } catch (IOException e) {
+                System.err.println("gorsestack: " + config + ": " + e.getMessage().lines().findFirst().orElse(""));
+                return CommandLine.ExitCode.USAGE;
+            }
+            Thread.currentThread().join();
+            return CommandLine.ExitCode.OK;
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -0,0 +1,315 @@
+package gorsestack.memory;
+
+import gorsestack.decision.Choice;
+import gorsestack.decision.Outcome;
+import gorsestack.decision.Outgoing;
+import gorsestack.decision.Settings;
+import gorsestack.decision.Upstreams;
+import gorsestack.serve.Limits;
+import gorsestack.wire.Answer;
+import gorsestack.wire.Catalog;
+import gorsestack.wire.ClientConnection;
+import gorsestack.wire.Clock;
+import gorsestack.wire.Discovery;
+import gorsestack.wire.Ports;
+import gorsestack.wire.Request;
+import gorsestack.wire.UpstreamConnection;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.function.Function;
+
+/** The calls and shots that are out. Drives the module, and does what it says; decides nothing. */
+public final class Calls implements Outgoing, ClientConnection.Intake, Discovery.Listener {
+    private static final System.Logger LOG = System.getLogger("gorsestack.calls");
+
+    private static final class Call {
+        String id;
+        ClientConnection client;
+        Request request;
+        boolean ended;
+        int out;
+        final List<Shot> shots = new ArrayList<>();
+    }
+
+    private final class Shot implements UpstreamConnection.Waiting {
+        Call call;
+        int number;
+        String upstream;
+        long at;
+        long until;
+        UpstreamConnection connection;
+        Future<?> timer;
+        Answer answer;
+        boolean over;
+
+        @Override
+        public void ended(UpstreamConnection on, Outcome outcome, Answer brought) {
+            if (!over) {
+                over = true;
+                answer = brought;
+                out.remove(this);
+                if (timer != null) {
+                    timer.cancel(false);
+                }
+                long now = Clock.now();
+                call.out--;
+                choice.outcome(now, call.id, number, outcome, now - at, call.ended);
+                forgetIfOver(call);
+            }
+        }
+
+        /** Gives the shot up; late bytes reach no later call, as its connection goes with it. */
+        void giveUp(Outcome outcome) {
+            if (!over) {
+                if (connection != null) {
+                    connection.close();
+                }
+                ended(connection, outcome, null);
+            }
+        }
+    }
+
+    private final Owner owner;
+    private final Limits limits;
+    private final Settings settings;
+    private final Pool pool;
+    private final Random random;
+    private final Choice choice;
+    private final Map<String, Settings.Product> products = new HashMap<>();
+    private final Map<String, Call> calls = new HashMap<>();
+    private final Map<ClientConnection, Call> byClient = new HashMap<>();
+    private final Set<Shot> out = new LinkedHashSet<>();
+    private final Set<ClientConnection> clients = new LinkedHashSet<>();
+    private final Discovery discovery;
+    private boolean ready;
+    private boolean ending;
+    private Runnable whenQuiet;
+
+    public Calls(Owner owner, Limits limits, Settings settings, long seed, Ports ports,
+            Function<Discovery.Listener, Discovery> discovery) {
+        this.owner = owner;
+        this.limits = limits;
+        this.settings = settings;
+        this.pool = new Pool(ports, limits, owner);
+        this.random = new Random(seed);
+        this.discovery = discovery.apply(this);
+        settings.products().forEach(p -> products.put(p.name(), p));
+        choice = new Choice(settings, seed, Clock.now(), this);
+        owner.at(Clock.now() + limits.sweep(), this::sweep);
+    }
+
+    // What comes in.
+
+    @Override
+    public void call(ClientConnection from, Request request, long arrivedAt) {
+        if (clients.size() > limits.clientConnections()) {
+            // Danger: out of descriptors; a call that was accepted is answered, and its connection given back.
+            from.answer(Answer.own(503, "", "too many connections"));
+            return;
+        }
+        Call c = new Call();
+        c.id = request.id();
+        for (int n = 2; calls.containsKey(c.id); n++) {
+            c.id = request.id() + "/" + n; // sent twice while the first is out; the module knows each by its id
+        }
+        c.client = from;
+        c.request = request;
+        calls.put(c.id, c);
+        byClient.put(from, c);
+        long now = Clock.now();
+        long left = request.left() < 0 ? products.get(request.product()).clientTimeout() : request.left();
+        choice.apiCall(now, c.id, request.product(), null, Math.max(0, left - (now - arrivedAt)));
+        forgetIfOver(c);
+    }
+
+    @Override
+    public void gone(ClientConnection from) {
+        Call c = byClient.remove(from);
+        if (c != null && !c.ended) {
+            c.ended = true;
+            choice.clientGone(Clock.now(), c.id);
+            forgetIfOver(c);
+        }
+    }
+
+    @Override
+    public void news(Catalog catalog) {
+        catalog.addresses().forEach(pool::address);
+        for (Upstreams.Entry e : catalog.news().entries()) {
+            if (e.state() != Upstreams.State.READY) {
+                pool.drop(e.id());
+            }
+        }
+        choice.upstreams(Clock.now(), catalog.news());
+    }
+
+    @Override
+    public void failed() {
+        choice.upstreams(Clock.now(), new Upstreams(Upstreams.Form.FAILED, List.of()));
+    }
+
+    // What the module does.
+
+    @Override
+    public void shot(String apiCall, String upstream, long giveUpAfter) {
+        Call c = calls.get(apiCall);
+        Shot s = new Shot();
+        s.call = c;
+        s.number = c.shots.size();
+        s.upstream = upstream;
+        s.at = Clock.now();
+        s.until = s.at + giveUpAfter;
+        c.shots.add(s);
+        c.out++;
+        s.connection = pool.take(upstream);
+        if (s.connection == null) {
+            owner.execute(() -> s.ended(null, Outcome.NOT_SENT, null));
+            return;
+        }
+        out.add(s);
+        s.connection.send(c.request.forward(giveUpAfter), s);
+        s.timer = owner.at(s.until, () -> s.giveUp(Outcome.TIMED_OUT));
+    }
+
+    @Override
+    public void cancel(String apiCall, int shot) {
+        Shot s = calls.get(apiCall).shots.get(shot);
+        // The module is told after it has finished what it is at.
+        owner.execute(() -> s.giveUp(Clock.now() >= s.until ? Outcome.TIMED_OUT : Outcome.CANCELLED));
+    }
+
+    @Override
+    public void fulfilled(String apiCall, int shot) {
+        answer(apiCall, calls.get(apiCall).shots.get(shot).answer);
+    }
+
+    @Override
+    public void rateLimited(String apiCall, long comeBackAfter) {
+        String advice = comeBackAfter > 0 ? "Retry-After: " + comeBackAfter / 1_000_000 / 1e3 + "\r\n" : "";
+        answer(apiCall, Answer.own(429, advice, "no room; trying again is harmless"));
+    }
+
+    @Override
+    public void errored(String apiCall) {
+        answer(apiCall, Answer.own(502, "", "no upstream answered"));
+    }
+
+    private void answer(String apiCall, Answer answer) {
+        Call c = calls.get(apiCall);
+        if (!c.ended) {
+            c.ended = true;
+            byClient.remove(c.client);
+            c.client.answer(answer);
+        }
+    }
+
+    @Override
+    public void wake(long token, long at) {
+        owner.at(at, () -> choice.wake(Clock.now(), token));
+    }
+
+    @Override
+    public void watch() {
+        discovery.watch();
+    }
+
+    private void forgetIfOver(Call c) {
+        if (c.ended && c.out == 0) {
+            calls.remove(c.id, c);
+        }
+        if (whenQuiet != null && byClient.isEmpty()) {
+            quiet();
+        }
+    }
+
+    // Connections of clients, and the end.
+
+    @Override
+    public void opened(ClientConnection from) {
+        clients.add(from);
+        if (clients.size() > limits.clientConnections()) {
+            clients.stream().filter(ClientConnection::idle).findFirst().ifPresent(ClientConnection::closeIfIdle);
+        }
+    }
+
+    @Override
+    public void closed(ClientConnection from) {
+        clients.remove(from);
+    }
+
+    @Override
+    public boolean ready() {
+        return ready && !ending;
+    }
+
+    @Override
+    public boolean closing(ClientConnection from) {
+        return ending || clients.size() > limits.clientConnections();
+    }
+
+    @Override
+    public boolean knows(String product) {
+        return products.containsKey(product);
+    }
+
+    @Override
+    public boolean needsKey(String product) {
+        return products.get(product).repeat() == Settings.Repeat.DEDUPLICATED;
+    }
+
+    @Override
+    public void after(long nanos, Runnable task) {
+        owner.at(Clock.now() + nanos, task);
+    }
+
+    @Override
+    public double chance() {
+        return random.nextDouble();
+    }
+
+    /** From now on /_health says that calls may come. */
+    public void open() {
+        ready = true;
+    }
+
+    /** SIGTERM: connections are closed after their next answer. */
+    public void end() {
+        ending = true;
+        LOG.log(System.Logger.Level.INFO, "ending; {0} calls held", byClient.size());
+    }
+
+    /** Closes the connections between calls, and says when the last call has been answered. */
+    public void closeIdle(Runnable quiet) {
+        List.copyOf(clients).forEach(ClientConnection::closeIfIdle);
+        whenQuiet = quiet;
+        if (byClient.isEmpty()) {
+            quiet();
+        }
+    }
+
+    private void quiet() {
+        if (clients.stream().allMatch(ClientConnection::idle)) {
+            whenQuiet.run();
+            whenQuiet = null;
+        }
+    }
+
+    private void sweep() {
+        pool.retire();
+        long now = Clock.now();
+        for (Shot s : out) {
+            // Danger: a machine cut off leaves its idle connections open, and each would swallow a call. A
+            // new one fails within the connect timeout, and proves that nothing ran.
+            if (now - s.at > limits.silence() && !pool.heardSince(s.upstream, s.at)) {
+                pool.drop(s.upstream);
+            }
+        }
+        owner.at(now + limits.sweep(), this::sweep);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsestack/memory/Pool.java
@@ -0,0 +1,113 @@
+package gorsestack.memory;
+
+import gorsestack.serve.Limits;
+import gorsestack.wire.Clock;
+import gorsestack.wire.Ports;
+import gorsestack.wire.UpstreamConnection;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+/** Connections to upstreams, idle ones by upstream, and where each upstream listens. */
+final class Pool implements UpstreamConnection.Keeper {
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
+    private final Map<String, Long> heardAt = new HashMap<>();
+    private final Set<UpstreamConnection> all = new HashSet<>();
+    private final Ports ports;
+    private final Limits limits;
+    private final Owner owner;
+
+    Pool(Ports ports, Limits limits, Owner owner) {
+        this.ports = ports;
+        this.limits = limits;
+        this.owner = owner;
+    }
+
+    /** Danger: an address that moved to another upstream; nothing that was opened to the old one is kept. */
+    void address(String upstream, InetSocketAddress address) {
+        InetSocketAddress before = addresses.put(upstream, address);
+        if (before != null && !before.equals(address)) {
+            drop(upstream);
+        }
+    }
+
+    /** A connection for one shot, the idle one used last or a new one; null if there can be none. */
+    UpstreamConnection take(String upstream) {
+        ArrayDeque<UpstreamConnection> kept = idle.get(upstream);
+        UpstreamConnection connection = kept == null ? null : kept.pollLast();
+        if (connection != null) {
+            return connection;
+        }
+        InetSocketAddress address = addresses.get(upstream);
+        if (address == null || all.size() >= limits.upstreamConnections() && !dropOldest()) {
+            return null;
+        }
+        UpstreamConnection opened = ports.open(upstream, address, this);
+        all.add(opened);
+        // Danger: a machine that is gone answers no connect; the shot on it has to end, as one that never ran.
+        owner.at(Clock.now() + limits.connectTimeout(), opened::tooSlow);
+        return opened;
+    }
+
+    @Override
+    public void free(UpstreamConnection connection) {
+        if (!connection.address.equals(addresses.get(connection.upstream))) {
+            connection.close();
+            return;
+        }
+        connection.idleSince = Clock.now();
+        idle.computeIfAbsent(connection.upstream, u -> new ArrayDeque<>()).addLast(connection);
+    }
+
+    @Override
+    public void closed(UpstreamConnection connection) {
+        all.remove(connection);
+        ArrayDeque<UpstreamConnection> kept = idle.get(connection.upstream);
+        if (kept != null) {
+            kept.remove(connection);
+        }
+    }
+
+    @Override
+    public void heard(String upstream) {
+        heardAt.put(upstream, Clock.now());
+    }
+
+    boolean heardSince(String upstream, long time) {
+        return heardAt.getOrDefault(upstream, Long.MIN_VALUE) >= time;
+    }
+
+    /** Closes the upstream's idle connections. */
+    void drop(String upstream) {
+        ArrayDeque<UpstreamConnection> kept = idle.get(upstream);
+        if (kept != null) {
+            List.copyOf(kept).forEach(UpstreamConnection::close);
+        }
+    }
+
+    private boolean dropOldest() {
+        UpstreamConnection oldest = idle.values().stream().map(ArrayDeque::peekFirst).filter(Objects::nonNull)
+                .min(Comparator.comparingLong(c -> c.idleSince)).orElse(null);
+        if (oldest != null) {
+            oldest.close();
+        }
+        return oldest != null;
+    }
+
+    /** Retires what has been idle for long, before the upstream does. */
+    void retire() {
+        long before = Clock.now() - limits.upstreamIdle();
+        for (ArrayDeque<UpstreamConnection> kept : idle.values()) {
+            while (!kept.isEmpty() && kept.peekFirst().idleSince < before) {
+                kept.peekFirst().close();
+            }
+        }
+    }
+}
--- a/src/main/java/gorsestack/simhost/SettingsReader.java
+++ b/src/main/java/gorsestack/simhost/SettingsReader.java
@@ -7,18 +7,19 @@
 import gorsestack.decision.Settings.Repeat;
 import gorsestack.decision.Settings.Rules;
 import gorsestack.decision.Settings.Scope;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
-/** Turns the wire's first message into the module's settings. Keys that it does not know are skipped. */
-final class SettingsReader {
+/** Turns the settings that a balancer is told, here as on sockets, into the module's. Keys that it does not know are skipped. */
+public final class SettingsReader {
     private static final int ENDLESS = Integer.MAX_VALUE;
 
     private SettingsReader() { }
 
-    static Settings read(JsonNode info) throws WireException {
+    public static Settings read(JsonNode info) throws IOException {
         if (info == null || !info.isObject()) {
-            throw new WireException("HELLO: info must be an object");
+            throw new WireException("settings: must be an object");
         }
         List<String> zones = new ArrayList<>();
         for (JsonNode zone : info.path("zones")) {
@@ -52,11 +53,11 @@
     private static Product product(JsonNode node) throws WireException {
         String name = node.path("name").asText("");
         if (name.isEmpty()) {
-            throw new WireException("HELLO: a product has no name");
+            throw new WireException("settings: a product has no name");
         }
         long timeout = nanos(node, "clientTimeout", 0);
         if (timeout <= 0) {
-            throw new WireException("HELLO: product " + name + " lacks clientTimeout");
+            throw new WireException("settings: product " + name + " lacks clientTimeout");
         }
         // A word not known here is taken as the strictest one.
         Repeat repeat = switch (node.path("semantics").asText("")) {
--- /dev/null
+++ b/src/main/java/gorsestack/wire/Answer.java
@@ -0,0 +1,49 @@
+package gorsestack.wire;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/** An answer on its way to a client. */
+public record Answer(int status, byte[] fields, byte[] body) {
+
+    /** An upstream's answer: its header lines and its body as they came. */
+    static Answer of(Head head, byte[] body) {
+        ByteArrayOutputStream fields = new ByteArrayOutputStream(128);
+        head.copyFields(fields);
+        return new Answer(200, fields.toByteArray(), body);
+    }
+
+    /** An answer of this balancer's own, with a line of text as its body. */
+    public static Answer own(int status, String fields, String text) {
+        return new Answer(status, ("Content-Type: text/plain\r\n" + fields).getBytes(StandardCharsets.ISO_8859_1),
+                (text + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    byte[] bytes(boolean last) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(128 + fields.length + body.length);
+        String start = "HTTP/1.1 " + status + " " + reason() + "\r\nContent-Length: " + body.length + "\r\n"
+                + (last ? "Connection: close\r\n" : "");
+        out.writeBytes(start.getBytes(StandardCharsets.ISO_8859_1));
+        out.writeBytes(fields);
+        out.write('\r');
+        out.write('\n');
+        out.writeBytes(body);
+        return out.toByteArray();
+    }
+
+    private String reason() {
+        return switch (status) {
+            case 200 -> "OK";
+            case 400 -> "Bad Request";
+            case 404 -> "Not Found";
+            case 405 -> "Method Not Allowed";
+            case 413 -> "Content Too Large";
+            case 429 -> "Too Many Requests";
+            case 431 -> "Request Header Fields Too Large";
+            case 502 -> "Bad Gateway";
+            case 503 -> "Service Unavailable";
+            case 504 -> "Gateway Timeout";
+            default -> "Error";
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsestack/wire/Catalog.java
@@ -0,0 +1,78 @@
+package gorsestack.wire;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gorsestack.decision.Upstreams;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One piece of discovery's news: what the module is told, and where each upstream listens. */
+public record Catalog(long index, Upstreams news, Map<String, InetSocketAddress> addresses) {
+    private static final System.Logger LOG = System.getLogger("gorsestack.discovery");
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    static Catalog parse(byte[] line) throws BadMessage {
+        try {
+            return read(JSON.readTree(line), null);
+        } catch (JsonProcessingException e) {
+            throw new BadMessage(502, "no JSON: " + e.getOriginalMessage());
+        } catch (java.io.IOException e) {
+            throw new BadMessage(502, e.toString());
+        }
+    }
+
+    /** An entry that makes no sense is left out, with one line in the log; the others hold. */
+    public static Catalog read(JsonNode node, Upstreams.Form as) throws BadMessage {
+        if (!node.path("endpoints").isArray() || !node.path("index").isNumber()) {
+            throw new BadMessage(502, "a line without index and endpoints");
+        }
+        List<Upstreams.Entry> entries = new ArrayList<>();
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
+        for (JsonNode e : node.path("endpoints")) {
+            String name = e.path("name").asText("");
+            // A state not known here is taken as one that wants nothing new.
+            Upstreams.State state = switch (e.path("status").asText("")) {
+                case "in_service" -> Upstreams.State.READY;
+                case "terminated" -> Upstreams.State.GONE;
+                default -> Upstreams.State.DRAINING;
+            };
+            InetSocketAddress address = address(e.path("address").asText(""));
+            if (name.isEmpty() || address == null && state == Upstreams.State.READY) {
+                LOG.log(System.Logger.Level.WARNING, "entry left out, no name or address: {0}", cut(e.toString()));
+                continue;
+            }
+            if (address != null) {
+                addresses.put(name, address);
+            }
+            entries.add(new Upstreams.Entry(name, state, Clock.ofUnixMillis(e.path("since_ms").asLong(0)),
+                    e.path("group").asInt(0), e.path("weight").asDouble(1), e.path("type").asText(""),
+                    e.path("zone").asText("")));
+        }
+        Upstreams.Form form = as != null ? as : node.path("snapshot").asBoolean(false) ? Upstreams.Form.FULL
+                : Upstreams.Form.CHANGES;
+        return new Catalog(node.path("index").asLong(), new Upstreams(form, entries), addresses);
+    }
+
+    /** An address and port as numbers; names would ask a name service. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:]+]")) {
+            return null;
+        }
+        try {
+            InetSocketAddress address = new InetSocketAddress(text.substring(0, colon),
+                    Integer.parseInt(text.substring(colon + 1)));
+            return address.isUnresolved() ? null : address;
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    private static String cut(String text) {
+        return text.length() > 200 ? text.substring(0, 200) + "..." : text;
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsestack/wire/Discovery.java
@@ -0,0 +1,153 @@
+package gorsestack.wire;
+
+import gorsestack.serve.Limits;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import org.apache.mina.core.future.ConnectFuture;
+
+/** Follows the list of upstreams: a watch, kept up for as long as discovery lets it. */
+public final class Discovery {
+    /** Who is told. */
+    public interface Listener {
+        void news(Catalog catalog);
+
+        /** No list was to be had; the listener says when to ask again. */
+        void failed();
+
+        void after(long nanos, Runnable task);
+
+        /** From 0 up to 1; not the module's. */
+        double chance();
+    }
+
+    private static final System.Logger LOG = System.getLogger("gorsestack.discovery");
+
+    private final Network network;
+    private final Limits limits;
+    private final InetSocketAddress address;
+    private final Listener listener;
+    private Watch watch;
+    private long index;
+
+    public Discovery(Network network, Limits limits, InetSocketAddress address, long index, Listener listener) {
+        this.network = network;
+        this.limits = limits;
+        this.address = address;
+        this.index = index;
+        this.listener = listener;
+    }
+
+    /** Starts a watch unless one is under way. */
+    public void watch() {
+        if (watch == null) {
+            watch = new Watch();
+            watch.start();
+        }
+    }
+
+    private final class Watch implements Link {
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream(256);
+        private final HttpParser parser = HttpParser.stream(limits, this::bytes);
+        private ConnectFuture connecting;
+        private Channel channel;
+        private boolean told;
+        private long heardAt = Clock.now();
+
+        void start() {
+            connecting = network.connect(address, this);
+            listener.after(limits.watchSilence(), this::check);
+        }
+
+        /** Danger: a watch on a machine that is cut off stays open and says nothing, of drains neither. */
+        private void check() {
+            if (watch == this) {
+                long left = heardAt + limits.watchSilence() - Clock.now();
+                if (left > 0) {
+                    listener.after(left, this::check);
+                } else {
+                    lost("silent");
+                }
+            }
+        }
+
+        @Override
+        public void opened(Channel opened) {
+            channel = opened;
+            if (watch != this) {
+                channel.close();
+                return;
+            }
+            channel.write(("GET /catalog/members?watch=1&after=" + index + " HTTP/1.1\r\nHost: discovery\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        @Override
+        public void received(byte[] bytes, long at) {
+            if (watch != this) {
+                return;
+            }
+            try {
+                parser.feed(bytes, 0, bytes.length);
+                if (parser.head() != null && !parser.head().start[1].equals("200")) {
+                    lost("answered " + parser.head().start[1]);
+                } else if (parser.done()) {
+                    lost("ended");
+                }
+            } catch (BadMessage e) {
+                lost(e.getMessage());
+            }
+        }
+
+        private void bytes(byte[] from, int at, int length) throws BadMessage {
+            if (parser.head() == null || !parser.head().start[1].equals("200")) {
+                return;
+            }
+            for (int i = at; i < at + length; i++) {
+                if (from[i] != '\n') {
+                    line.write(from[i]);
+                    if (line.size() > limits.catalogLineBytes()) {
+                        throw new BadMessage(502, "a line without an end");
+                    }
+                    continue;
+                }
+                heardAt = Clock.now();
+                byte[] whole = line.toByteArray();
+                line.reset();
+                if (!new String(whole, StandardCharsets.ISO_8859_1).isBlank()) {
+                    Catalog catalog = Catalog.parse(whole);
+                    index = catalog.index();
+                    told = true;
+                    listener.news(catalog);
+                }
+            }
+        }
+
+        @Override
+        public void sent() { }
+
+        @Override
+        public void closed() {
+            lost("closed");
+        }
+
+        /** A watch that told something is taken up again at once, spread; else the listener decides when. */
+        private void lost(String why) {
+            if (watch != this) {
+                return;
+            }
+            watch = null;
+            if (channel != null) {
+                channel.close();
+            } else if (connecting != null) {
+                connecting.cancel();
+            }
+            LOG.log(System.Logger.Level.INFO, "watch lost: {0}", why);
+            if (told) {
+                listener.after((long) (listener.chance() * limits.watchSpread()), Discovery.this::watch);
+            } else {
+                listener.failed();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsestack/wire/HttpParser.java
@@ -0,0 +1,179 @@
+package gorsestack.wire;
+
+import gorsestack.serve.Limits;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/** Reads one request or one answer, fed in whatever pieces the connection brings. */
+final class HttpParser {
+    /** Takes the body's bytes as they come. */
+    interface Body {
+        void bytes(byte[] from, int at, int length) throws BadMessage;
+    }
+
+    private enum State { HEAD, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, DONE }
+
+    private final boolean request;
+    private final int mostHead;
+    private final int mostBody;
+    private final Body sink;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private ByteArrayOutputStream line = new ByteArrayOutputStream(512);
+    private State state = State.HEAD;
+    private Head head;
+    private long left;
+    private int lineStart;
+
+    private HttpParser(boolean request, Limits limits, Body sink) {
+        this.request = request;
+        this.mostHead = limits.headBytes();
+        this.mostBody = limits.bodyBytes();
+        this.sink = sink != null ? sink : this::keep;
+    }
+
+    static HttpParser request(Limits limits) {
+        return new HttpParser(true, limits, null);
+    }
+
+    static HttpParser answer(Limits limits) {
+        return new HttpParser(false, limits, null);
+    }
+
+    /** An answer whose body has no end. */
+    static HttpParser stream(Limits limits, Body sink) {
+        return new HttpParser(false, limits, sink);
+    }
+
+    private void keep(byte[] from, int at, int length) throws BadMessage {
+        if (body.size() + length > mostBody) {
+            throw new BadMessage(413, "a body over " + mostBody + " bytes");
+        }
+        body.write(from, at, length);
+    }
+
+    boolean done() {
+        return state == State.DONE;
+    }
+
+    /** Whether a message has begun. */
+    boolean begun() {
+        return head != null || line.size() > 0;
+    }
+
+    Head head() {
+        return head;
+    }
+
+    byte[] body() {
+        return body.toByteArray();
+    }
+
+    /** Takes bytes until the message ends; returns where it stopped. */
+    int feed(byte[] in, int at, int end) throws BadMessage {
+        int i = at;
+        while (i < end && state != State.DONE) {
+            switch (state) {
+                case FIXED, CHUNK -> {
+                    int take = (int) Math.min(left, end - i);
+                    sink.bytes(in, i, take);
+                    i += take;
+                    left -= take;
+                    if (left == 0) {
+                        state = state == State.FIXED ? State.DONE : State.CHUNK_END;
+                    }
+                }
+                default -> {
+                    byte b = in[i++];
+                    line.write(b);
+                    if (line.size() > mostHead) {
+                        throw new BadMessage(431, "a head over " + mostHead + " bytes");
+                    }
+                    if (b == '\n') {
+                        line();
+                    }
+                }
+            }
+        }
+        return i;
+    }
+
+    private void line() throws BadMessage {
+        int length = line.size() - lineStart;
+        if (state == State.HEAD) {
+            if (length == 2 && lineStart == 0) {
+                line.reset(); // an empty line ahead of a message is let pass
+            } else if (length <= 2) {
+                byte[] all = line.toByteArray();
+                if (length == 1 || all[lineStart] != '\r') {
+                    throw new BadMessage(400, "a line ends without a carriage return");
+                }
+                head(java.util.Arrays.copyOf(all, lineStart));
+            } else {
+                lineStart = line.size();
+            }
+            return;
+        }
+        String text = line.toString(StandardCharsets.ISO_8859_1);
+        line.reset();
+        if (!text.endsWith("\r\n")) {
+            throw new BadMessage(400, "a line ends without a carriage return");
+        }
+        text = text.substring(0, text.length() - 2);
+        switch (state) {
+            case CHUNK_SIZE -> {
+                int cut = text.indexOf(';');
+                left = number((cut < 0 ? text : text.substring(0, cut)).strip(), 16);
+                state = left == 0 ? State.TRAILER : State.CHUNK;
+            }
+            case CHUNK_END -> {
+                if (!text.isEmpty()) {
+                    throw new BadMessage(400, "a chunk does not end where it said");
+                }
+                state = State.CHUNK_SIZE;
+            }
+            default -> state = text.isEmpty() ? State.DONE : State.TRAILER;
+        }
+    }
+
+    private void head(byte[] bytes) throws BadMessage {
+        line = new ByteArrayOutputStream(32);
+        lineStart = 0;
+        Head read = new Head(bytes);
+        String version = request ? (read.start.length == 3 ? read.start[2] : "") : read.start[0];
+        if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
+            throw new BadMessage(400, "not HTTP/1.1");
+        }
+        int status = request ? 0 : (int) number(read.start[1], 10);
+        if (!request && status >= 100 && status < 200) {
+            return; // an interim answer; the real one follows
+        }
+        head = read;
+        String coding = head.field("transfer-encoding");
+        String length = head.field("content-length");
+        // Danger: two framings that disagree; whoever reads the other one sees a message that nobody sent.
+        if (coding != null && (length != null || !coding.equalsIgnoreCase("chunked"))) {
+            throw new BadMessage(400, "a body framed in a way that is not known");
+        }
+        if (coding != null) {
+            state = State.CHUNK_SIZE;
+        } else if (length != null) {
+            left = number(length, 10);
+            if (left > mostBody) {
+                throw new BadMessage(413, "a body over " + mostBody + " bytes");
+            }
+            state = left == 0 ? State.DONE : State.FIXED;
+        } else if (request || status == 204 || status == 304) {
+            state = State.DONE;
+        } else {
+            throw new BadMessage(400, "an answer whose end cannot be told");
+        }
+    }
+
+    private static long number(String digits, int radix) throws BadMessage {
+        if (digits.isEmpty() || digits.length() > 9 || digits.chars().anyMatch(c -> Character.digit(c, radix) < 0
+                || c > 'f')) {
+            throw new BadMessage(400, "a length or status that is no number");
+        }
+        return Long.parseLong(digits, radix);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsestack/wire/Link.java
@@ -0,0 +1,15 @@
+package gorsestack.wire;
+
+/** One end of a connection: an object with callbacks, all made on the thread that owns the memory. */
+interface Link {
+    void opened(Channel channel);
+
+    /** What came, and when it was read from the socket. */
+    void received(byte[] bytes, long at);
+
+    /** One write has gone out to its last byte. */
+    void sent();
+
+    /** The connection has ended or never came up; nothing follows, but it may be said twice. */
+    void closed();
+}
--- /dev/null
+++ b/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -0,0 +1,157 @@
+package gorsestack.wire;
+
+import gorsestack.decision.Outcome;
+import gorsestack.serve.Limits;
+import java.net.InetSocketAddress;
+import org.apache.mina.core.future.ConnectFuture;
+
+/** A connection to an upstream: one shot at a time, kept between shots. */
+public final class UpstreamConnection implements Link {
+    /** Who waits for the shot under way. */
+    public interface Waiting {
+        /** How it ended; the answer only where it was fulfilled. */
+        void ended(UpstreamConnection on, Outcome outcome, Answer answer);
+    }
+
+    /** Who keeps connections. */
+    public interface Keeper {
+        void free(UpstreamConnection connection);
+
+        void closed(UpstreamConnection connection);
+
+        void heard(String upstream);
+    }
+
+    public final String upstream;
+    public final InetSocketAddress address;
+    /** When it was last put by. */
+    public long idleSince;
+
+    private final Limits limits;
+    private final Keeper keeper;
+    private ConnectFuture connecting;
+    private Channel channel;
+    private HttpParser parser;
+    private Waiting waiting;
+    private byte[] unsent;
+    private boolean written;
+    private boolean closed;
+
+    UpstreamConnection(Limits limits, Keeper keeper, String upstream, InetSocketAddress address) {
+        this.limits = limits;
+        this.keeper = keeper;
+        this.upstream = upstream;
+        this.address = address;
+    }
+
+    void connect(Network network) {
+        connecting = network.connect(address, this);
+    }
+
+    /** Sends one shot, once the connection is up. */
+    public void send(byte[] request, Waiting by) {
+        waiting = by;
+        written = false;
+        parser = HttpParser.answer(limits);
+        if (channel == null) {
+            unsent = request;
+        } else {
+            channel.write(request);
+        }
+    }
+
+    public boolean up() {
+        return channel != null;
+    }
+
+    @Override
+    public void opened(Channel opened) {
+        channel = opened;
+        if (closed) {
+            channel.close();
+        } else if (unsent != null) {
+            channel.write(unsent);
+            unsent = null;
+        }
+    }
+
+    @Override
+    public void sent() {
+        written = true;
+    }
+
+    @Override
+    public void received(byte[] bytes, long at) {
+        if (closed) {
+            return;
+        }
+        keeper.heard(upstream);
+        if (waiting == null) {
+            close(); // bytes that no shot asked for; a later one must not take them for its answer
+            return;
+        }
+        try {
+            int used = parser.feed(bytes, 0, bytes.length);
+            if (parser.done()) {
+                Head head = parser.head();
+                byte[] body = parser.body();
+                Waiting by = waiting;
+                waiting = null;
+                if (used < bytes.length || !written || head.lists("connection", "close")
+                        || head.start[0].equals("HTTP/1.0")) {
+                    close();
+                } else {
+                    keeper.free(this);
+                }
+                Outcome outcome = outcome(head);
+                by.ended(this, outcome, outcome == Outcome.FULFILLED ? Answer.of(head, body) : null);
+            }
+        } catch (BadMessage e) {
+            end(Outcome.ERROR);
+        }
+    }
+
+    /** Rule 2: only what says that it was not processed has never run. */
+    private static Outcome outcome(Head head) {
+        return switch (head.start[1]) {
+            case "200" -> Outcome.FULFILLED;
+            case "503", "504" -> "1".equals(head.field("x-unprocessed")) ? Outcome.FULL : Outcome.ERROR;
+            default -> Outcome.ERROR;
+        };
+    }
+
+    /** Gives up the shot under way, or the connection. Late bytes then reach nobody. */
+    public void close() {
+        if (!closed) {
+            closed = true;
+            waiting = null;
+            if (channel != null) {
+                channel.close();
+            } else if (connecting != null) {
+                connecting.cancel();
+            }
+            keeper.closed(this);
+        }
+    }
+
+    private void end(Outcome outcome) {
+        Waiting by = waiting;
+        close();
+        if (by != null) {
+            by.ended(this, outcome, null);
+        }
+    }
+
+    /** Did not come up in time. */
+    public void tooSlow() {
+        if (channel == null) {
+            end(Outcome.UNREACHABLE);
+        }
+    }
+
+    @Override
+    public void closed() {
+        // Rule 2: a request whose last byte was not written cannot have begun.
+        end(written ? Outcome.BROKEN : Outcome.UNREACHABLE);
+    }
+}
