Close a cancelled shot's connection at once, so that none coming up late gets its request

Checked: the module cancels every open shot when it finishes a call (Choice.finish), so the send was the adapter's. Calls.cancel handed the closing to the owner's queue; a connection that came up meanwhile stood before it there and UpstreamConnection.opened wrote the waiting request. Now the connection is closed inside cancel and only the outcome waits its turn. The test fails with the old order.

Found by the tests on the way: the end after SIGTERM waited out its full time because the last connection's closing was not looked at, and a client connection over the bound closed itself instead of an idle one.

--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -9,11 +9,12 @@
 import gorsestack.wire.Answer;
 import gorsestack.wire.Catalog;
 import gorsestack.wire.ClientConnection;
-import gorsestack.wire.Clock;
 import gorsestack.wire.Discovery;
-import gorsestack.wire.Ports;
+import gorsestack.wire.Network;
+import gorsestack.wire.Owner;
 import gorsestack.wire.Request;
 import gorsestack.wire.UpstreamConnection;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -21,8 +22,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.function.Function;
 
 /** The calls and shots that are out. Drives the module, and does what it says; decides nothing. */
 public final class Calls implements Outgoing, ClientConnection.Intake, Discovery.Listener {
@@ -44,20 +43,20 @@
         long at;
         long until;
         UpstreamConnection connection;
-        Future<?> timer;
+        Runnable timer;
         Answer answer;
         boolean over;
 
         @Override
-        public void ended(UpstreamConnection on, Outcome outcome, Answer brought) {
+        public void ended(Outcome outcome, Answer brought) {
             if (!over) {
                 over = true;
                 answer = brought;
                 out.remove(this);
                 if (timer != null) {
-                    timer.cancel(false);
+                    timer.run();
                 }
-                long now = Clock.now();
+                long now = owner.now();
                 call.out--;
                 choice.outcome(now, call.id, number, outcome, now - at, call.ended);
                 forgetIfOver(call);
@@ -65,12 +64,9 @@
         }
 
         /** Gives the shot up; late bytes reach no later call, as its connection goes with it. */
-        void giveUp(Outcome outcome) {
-            if (!over) {
-                if (connection != null) {
-                    connection.close();
-                }
-                ended(connection, outcome, null);
+        void close() {
+            if (!over && connection != null) {
+                connection.close();
             }
         }
     }
@@ -91,17 +87,17 @@
     private boolean ending;
     private Runnable whenQuiet;
 
-    public Calls(Owner owner, Limits limits, Settings settings, long seed, Ports ports,
-            Function<Discovery.Listener, Discovery> discovery) {
+    public Calls(Owner owner, Limits limits, Settings settings, long seed, Network network,
+            InetSocketAddress discovery, long index) {
         this.owner = owner;
         this.limits = limits;
         this.settings = settings;
-        this.pool = new Pool(ports, limits, owner);
+        this.pool = new Pool(network, limits, owner);
         this.random = new Random(seed);
-        this.discovery = discovery.apply(this);
+        this.discovery = new Discovery(network, owner, limits, discovery, index, this);
         settings.products().forEach(p -> products.put(p.name(), p));
-        choice = new Choice(settings, seed, Clock.now(), this);
-        owner.at(Clock.now() + limits.sweep(), this::sweep);
+        choice = new Choice(settings, seed, owner.now(), this);
+        owner.at(owner.now() + limits.sweep(), this::sweep);
     }
 
     // What comes in.
@@ -122,7 +118,7 @@
         c.request = request;
         calls.put(c.id, c);
         byClient.put(from, c);
-        long now = Clock.now();
+        long now = owner.now();
         long left = request.left() < 0 ? products.get(request.product()).clientTimeout() : request.left();
         choice.apiCall(now, c.id, request.product(), null, Math.max(0, left - (now - arrivedAt)));
         forgetIfOver(c);
@@ -133,7 +129,7 @@
         Call c = byClient.remove(from);
         if (c != null && !c.ended) {
             c.ended = true;
-            choice.clientGone(Clock.now(), c.id);
+            choice.clientGone(owner.now(), c.id);
             forgetIfOver(c);
         }
     }
@@ -146,12 +142,12 @@
                 pool.drop(e.id());
             }
         }
-        choice.upstreams(Clock.now(), catalog.news());
+        choice.upstreams(owner.now(), catalog.news());
     }
 
     @Override
     public void failed() {
-        choice.upstreams(Clock.now(), new Upstreams(Upstreams.Form.FAILED, List.of()));
+        choice.upstreams(owner.now(), new Upstreams(Upstreams.Form.FAILED, List.of()));
     }
 
     // What the module does.
@@ -163,25 +159,30 @@
         s.call = c;
         s.number = c.shots.size();
         s.upstream = upstream;
-        s.at = Clock.now();
+        s.at = owner.now();
         s.until = s.at + giveUpAfter;
         c.shots.add(s);
         c.out++;
         s.connection = pool.take(upstream);
         if (s.connection == null) {
-            owner.execute(() -> s.ended(null, Outcome.NOT_SENT, null));
+            owner.execute(() -> s.ended(Outcome.NOT_SENT, null));
             return;
         }
         out.add(s);
         s.connection.send(c.request.forward(giveUpAfter), s);
-        s.timer = owner.at(s.until, () -> s.giveUp(Outcome.TIMED_OUT));
+        s.timer = owner.at(s.until, () -> {
+            s.close();
+            s.ended(Outcome.TIMED_OUT, null);
+        });
     }
 
     @Override
     public void cancel(String apiCall, int shot) {
         Shot s = calls.get(apiCall).shots.get(shot);
-        // The module is told after it has finished what it is at.
-        owner.execute(() -> s.giveUp(Clock.now() >= s.until ? Outcome.TIMED_OUT : Outcome.CANCELLED));
+        // Rule 1: closed before anything else is looked at, or a connection that comes up in between would
+        // still get its request. The module is told after it has finished what it is at.
+        s.close();
+        owner.execute(() -> s.ended(owner.now() >= s.until ? Outcome.TIMED_OUT : Outcome.CANCELLED, null));
     }
 
     @Override
@@ -211,7 +212,7 @@
 
     @Override
     public void wake(long token, long at) {
-        owner.at(at, () -> choice.wake(Clock.now(), token));
+        owner.at(at, () -> choice.wake(owner.now(), token));
     }
 
     @Override
@@ -223,9 +224,6 @@
         if (c.ended && c.out == 0) {
             calls.remove(c.id, c);
         }
-        if (whenQuiet != null && byClient.isEmpty()) {
-            quiet();
-        }
     }
 
     // Connections of clients, and the end.
@@ -234,13 +232,16 @@
     public void opened(ClientConnection from) {
         clients.add(from);
         if (clients.size() > limits.clientConnections()) {
-            clients.stream().filter(ClientConnection::idle).findFirst().ifPresent(ClientConnection::closeIfIdle);
+            clients.stream().filter(c -> c != from && c.idle()).findFirst().ifPresent(ClientConnection::closeIfIdle);
         }
     }
 
     @Override
     public void closed(ClientConnection from) {
         clients.remove(from);
+        if (whenQuiet != null) {
+            quiet();
+        }
     }
 
     @Override
@@ -263,11 +264,6 @@
         return products.get(product).repeat() == Settings.Repeat.DEDUPLICATED;
     }
 
-    @Override
-    public void after(long nanos, Runnable task) {
-        owner.at(Clock.now() + nanos, task);
-    }
-
     @Override
     public double chance() {
         return random.nextDouble();
@@ -288,13 +284,11 @@
     public void closeIdle(Runnable quiet) {
         List.copyOf(clients).forEach(ClientConnection::closeIfIdle);
         whenQuiet = quiet;
-        if (byClient.isEmpty()) {
-            quiet();
-        }
+        quiet();
     }
 
     private void quiet() {
-        if (clients.stream().allMatch(ClientConnection::idle)) {
+        if (clients.isEmpty()) {
             whenQuiet.run();
             whenQuiet = null;
         }
@@ -302,7 +296,7 @@
 
     private void sweep() {
         pool.retire();
-        long now = Clock.now();
+        long now = owner.now();
         for (Shot s : out) {
             // Danger: a machine cut off leaves its idle connections open, and each would swallow a call. A
             // new one fails within the connect timeout, and proves that nothing ran.
--- a/src/main/java/gorsestack/memory/Owner.java
+++ b/src/main/java/gorsestack/memory/OwnerThread.java
@@ -1,30 +1,37 @@
 package gorsestack.memory;
 
-import gorsestack.wire.Clock;
-import java.util.concurrent.Executor;
+import gorsestack.wire.Owner;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
-/** The one thread that owns the module and all that is kept in memory; everything is handed to it. */
-public final class Owner implements Executor {
+/** The owner's thread, on the JDK's own scheduler. */
+public final class OwnerThread implements Owner {
     private static final System.Logger LOG = System.getLogger("gorsestack.owner");
 
     private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1,
             task -> new Thread(task, "owner"));
+    // The wall clock is read once; the rest is counted, so that no change of it moves a deadline.
+    private final long anchor = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
 
-    public Owner() {
+    public OwnerThread() {
         thread.setRemoveOnCancelPolicy(true);
     }
 
+    @Override
+    public long now() {
+        return anchor + System.nanoTime();
+    }
+
     @Override
     public void execute(Runnable task) {
         thread.execute(() -> guard(task));
     }
 
-    /** Runs a task once the clock has reached that time. */
-    public Future<?> at(long time, Runnable task) {
-        return thread.schedule(() -> guard(task), time - Clock.now(), TimeUnit.NANOSECONDS);
+    @Override
+    public Runnable at(long time, Runnable task) {
+        Future<?> due = thread.schedule(() -> guard(task), time - now(), TimeUnit.NANOSECONDS);
+        return () -> due.cancel(false);
     }
 
     /** Danger: one input that trips a fault must not take the thread, and every other call, with it. */
--- a/src/main/java/gorsestack/memory/Pool.java
+++ b/src/main/java/gorsestack/memory/Pool.java
@@ -1,8 +1,8 @@
 package gorsestack.memory;
 
 import gorsestack.serve.Limits;
-import gorsestack.wire.Clock;
-import gorsestack.wire.Ports;
+import gorsestack.wire.Network;
+import gorsestack.wire.Owner;
 import gorsestack.wire.UpstreamConnection;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -20,12 +20,12 @@
     private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
     private final Map<String, Long> heardAt = new HashMap<>();
     private final Set<UpstreamConnection> all = new HashSet<>();
-    private final Ports ports;
+    private final Network network;
     private final Limits limits;
     private final Owner owner;
 
-    Pool(Ports ports, Limits limits, Owner owner) {
-        this.ports = ports;
+    Pool(Network network, Limits limits, Owner owner) {
+        this.network = network;
         this.limits = limits;
         this.owner = owner;
     }
@@ -49,10 +49,11 @@
         if (address == null || all.size() >= limits.upstreamConnections() && !dropOldest()) {
             return null;
         }
-        UpstreamConnection opened = ports.open(upstream, address, this);
+        UpstreamConnection opened = new UpstreamConnection(limits, this, upstream, address);
+        opened.connect(network);
         all.add(opened);
         // Danger: a machine that is gone answers no connect; the shot on it has to end, as one that never ran.
-        owner.at(Clock.now() + limits.connectTimeout(), opened::tooSlow);
+        owner.at(owner.now() + limits.connectTimeout(), opened::tooSlow);
         return opened;
     }
 
@@ -62,7 +63,7 @@
             connection.close();
             return;
         }
-        connection.idleSince = Clock.now();
+        connection.idleSince = owner.now();
         idle.computeIfAbsent(connection.upstream, u -> new ArrayDeque<>()).addLast(connection);
     }
 
@@ -77,7 +78,7 @@
 
     @Override
     public void heard(String upstream) {
-        heardAt.put(upstream, Clock.now());
+        heardAt.put(upstream, owner.now());
     }
 
     boolean heardSince(String upstream, long time) {
@@ -103,7 +104,7 @@
 
     /** Retires what has been idle for long, before the upstream does. */
     void retire() {
-        long before = Clock.now() - limits.upstreamIdle();
+        long before = owner.now() - limits.upstreamIdle();
         for (ArrayDeque<UpstreamConnection> kept : idle.values()) {
             while (!kept.isEmpty() && kept.peekFirst().idleSince < before) {
                 kept.peekFirst().close();
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -23,7 +23,7 @@
     private static final long MS = 1_000_000;
 
     /** From the operators' limits and the settings. */
-    static Limits of(JsonNode limits, JsonNode settings) {
+    public static Limits of(JsonNode limits, JsonNode settings) {
         // The JVM holds about 30 descriptors of its own: jar, modules, selectors, log.
         int sockets = Math.max(64, limits.path("sockets").asInt(1024)) - 48;
         long connect = (long) (settings.path("limits").path("connectTimeout").asDouble(250) * MS);
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -1,11 +1,11 @@
 package gorsestack.serve;
 
 import gorsestack.memory.Calls;
-import gorsestack.memory.Owner;
-import gorsestack.wire.Clock;
-import gorsestack.wire.Discovery;
+import gorsestack.memory.OwnerThread;
+import gorsestack.wire.ClientConnection;
+import gorsestack.wire.MinaNetwork;
 import gorsestack.wire.Network;
-import gorsestack.wire.Ports;
+import gorsestack.wire.Owner;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -16,14 +16,14 @@
     private static final System.Logger LOG = System.getLogger("gorsestack.service");
 
     private final Configuration configuration;
-    private final Owner owner = new Owner();
+    private final Owner owner = new OwnerThread();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Network network;
     private Calls calls;
 
     private Service(Configuration configuration) {
         this.configuration = configuration;
-        network = new Network(configuration.limits(), owner);
+        network = new MinaNetwork(configuration.limits(), owner);
     }
 
     /** Starts a balancer; it runs on when this returns. */
@@ -34,13 +34,11 @@
 
     private void start() throws IOException {
         Limits limits = configuration.limits();
-        Ports ports = new Ports(network, limits);
-        calls = new Calls(owner, limits, configuration.settings(), configuration.seed(), ports,
-                listener -> new Discovery(network, limits, configuration.discovery(), configuration.known().index(),
-                        listener));
+        calls = new Calls(owner, limits, configuration.settings(), configuration.seed(), network,
+                configuration.discovery(), configuration.known().index());
         owner.execute(() -> calls.news(configuration.known()));
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
-        ports.listen(configuration.listen(), calls);
+        network.listen(configuration.listen(), () -> new ClientConnection(limits, owner, calls));
         owner.execute(calls::open);
         LOG.log(System.Logger.Level.INFO, "{0} listens on {1}", configuration.name(), configuration.listen());
     }
@@ -49,7 +47,7 @@
     private void end() {
         Limits limits = configuration.limits();
         owner.execute(calls::end);
-        owner.at(Clock.now() + limits.acceptAfterTerm(), () -> {
+        owner.at(owner.now() + limits.acceptAfterTerm(), () -> {
             network.stopAccepting();
             calls.closeIdle(ended::countDown);
         });
--- a/src/main/java/gorsestack/wire/Catalog.java
+++ b/src/main/java/gorsestack/wire/Catalog.java
@@ -48,7 +48,8 @@
             if (address != null) {
                 addresses.put(name, address);
             }
-            entries.add(new Upstreams.Entry(name, state, Clock.ofUnixMillis(e.path("since_ms").asLong(0)),
+            // The balancer's clock counts from 1970 too; 0 stays 0, for long ago.
+            entries.add(new Upstreams.Entry(name, state, e.path("since_ms").asLong(0) * 1_000_000,
                     e.path("group").asInt(0), e.path("weight").asDouble(1), e.path("type").asText(""),
                     e.path("zone").asText("")));
         }
--- a/src/main/java/gorsestack/wire/Channel.java
+++ b/src/main/java/gorsestack/wire/Channel.java
@@ -1,33 +1,14 @@
 package gorsestack.wire;
 
-import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.session.IoSession;
-
 /** What a link may do to its connection. */
-final class Channel {
-    private final IoSession session;
-
-    Channel(IoSession session) {
-        this.session = session;
-    }
+public interface Channel {
 
-    void write(byte[] bytes) {
-        session.write(IoBuffer.wrap(bytes));
-    }
+    void write(byte[] bytes);
 
-    void close() {
-        session.closeNow();
-    }
+    void close();
 
-    void closeWhenSent() {
-        session.closeOnFlush();
-    }
+    void closeWhenSent();
 
-    void hold(boolean stop) {
-        if (stop) {
-            session.suspendRead();
-        } else {
-            session.resumeRead();
-        }
-    }
+    /** Stops reading, or goes on. */
+    void hold(boolean stop);
 }
--- a/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/src/main/java/gorsestack/wire/ClientConnection.java
@@ -23,12 +23,10 @@
         /** Whether connections are to be closed after the next answer. */
         boolean closing(ClientConnection from);
 
-        /** The strictest reading: a product that is dropped when repeated needs a key to know it by. */
+        /** Whether a repeat of this product is known by its key. */
         boolean needsKey(String product);
 
         boolean knows(String product);
-
-        void after(long nanos, Runnable task);
     }
 
     private static final System.Logger LOG = System.getLogger("gorsestack.client");
@@ -36,6 +34,7 @@
 
     private final Limits limits;
     private final Intake intake;
+    private final Owner owner;
     private final ByteArrayOutputStream ahead = new ByteArrayOutputStream(0);
     private HttpParser parser;
     private Channel channel;
@@ -47,7 +46,8 @@
     private boolean told;
     private boolean closed;
 
-    ClientConnection(Limits limits, Intake intake) {
+    public ClientConnection(Limits limits, Owner owner, Intake intake) {
+        this.owner = owner;
         this.limits = limits;
         this.intake = intake;
         parser = HttpParser.request(limits);
@@ -97,7 +97,7 @@
         deaf = true;
         busy = true;
         channel.write(Answer.own(e.status, "", e.getMessage()).bytes(true));
-        intake.after(limits.linger(), channel::close);
+        owner.at(owner.now() + limits.linger(), channel::close);
     }
 
     private void whole(Head head, byte[] body) {
--- a/src/main/java/gorsestack/wire/Discovery.java
+++ b/src/main/java/gorsestack/wire/Discovery.java
@@ -4,7 +4,6 @@
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import org.apache.mina.core.future.ConnectFuture;
 
 /** Follows the list of upstreams: a watch, kept up for as long as discovery lets it. */
 public final class Discovery {
@@ -15,8 +14,6 @@
         /** No list was to be had; the listener says when to ask again. */
         void failed();
 
-        void after(long nanos, Runnable task);
-
         /** From 0 up to 1; not the module's. */
         double chance();
     }
@@ -24,14 +21,16 @@
     private static final System.Logger LOG = System.getLogger("gorsestack.discovery");
 
     private final Network network;
+    private final Owner owner;
     private final Limits limits;
     private final InetSocketAddress address;
     private final Listener listener;
     private Watch watch;
     private long index;
 
-    public Discovery(Network network, Limits limits, InetSocketAddress address, long index, Listener listener) {
+    public Discovery(Network network, Owner owner, Limits limits, InetSocketAddress address, long index, Listener listener) {
         this.network = network;
+        this.owner = owner;
         this.limits = limits;
         this.address = address;
         this.index = index;
@@ -49,22 +48,22 @@
     private final class Watch implements Link {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream(256);
         private final HttpParser parser = HttpParser.stream(limits, this::bytes);
-        private ConnectFuture connecting;
+        private Runnable giveUpConnecting;
         private Channel channel;
         private boolean told;
-        private long heardAt = Clock.now();
+        private long heardAt = owner.now();
 
         void start() {
-            connecting = network.connect(address, this);
-            listener.after(limits.watchSilence(), this::check);
+            giveUpConnecting = network.connect(address, this);
+            owner.at(heardAt + limits.watchSilence(), this::check);
         }
 
         /** Danger: a watch on a machine that is cut off stays open and says nothing, of drains neither. */
         private void check() {
             if (watch == this) {
-                long left = heardAt + limits.watchSilence() - Clock.now();
-                if (left > 0) {
-                    listener.after(left, this::check);
+                long due = heardAt + limits.watchSilence();
+                if (owner.now() < due) {
+                    owner.at(due, this::check);
                 } else {
                     lost("silent");
                 }
@@ -111,7 +110,7 @@
                     }
                     continue;
                 }
-                heardAt = Clock.now();
+                heardAt = owner.now();
                 byte[] whole = line.toByteArray();
                 line.reset();
                 if (!new String(whole, StandardCharsets.ISO_8859_1).isBlank()) {
@@ -139,12 +138,12 @@
             watch = null;
             if (channel != null) {
                 channel.close();
-            } else if (connecting != null) {
-                connecting.cancel();
+            } else if (giveUpConnecting != null) {
+                giveUpConnecting.run();
             }
             LOG.log(System.Logger.Level.INFO, "watch lost: {0}", why);
             if (told) {
-                listener.after((long) (listener.chance() * limits.watchSpread()), Discovery.this::watch);
+                owner.at(owner.now() + (long) (listener.chance() * limits.watchSpread()), Discovery.this::watch);
             } else {
                 listener.failed();
             }
--- a/src/main/java/gorsestack/wire/Link.java
+++ b/src/main/java/gorsestack/wire/Link.java
@@ -1,7 +1,7 @@
 package gorsestack.wire;
 
 /** One end of a connection: an object with callbacks, all made on the thread that owns the memory. */
-interface Link {
+public interface Link {
     void opened(Channel channel);
 
     /** What came, and when it was read from the socket. */
--- /dev/null
+++ b/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -0,0 +1,153 @@
+package gorsestack.wire;
+
+import gorsestack.serve.Limits;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Supplier;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IdleStatus;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+
+/** Sockets by Apache MINA: one acceptor and one connector on one processor. */
+public final class MinaNetwork implements Network {
+    private static final String LINK = "link";
+
+    private final Owner owner;
+    private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(task, "io");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final NioProcessor processor = new NioProcessor(threads);
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processor);
+    private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
+
+    public MinaNetwork(Limits limits, Owner owner) {
+        this.owner = owner;
+        acceptor.setBacklog(limits.backlog());
+        acceptor.setReuseAddress(true);
+        acceptor.setCloseOnDeactivation(false);
+        configure(acceptor.getSessionConfig());
+        configure(connector.getSessionConfig());
+        // The links bound connecting themselves; this only keeps what they gave up from staying for good.
+        connector.setConnectTimeoutMillis(2 * limits.connectTimeout() / 1_000_000);
+        connector.setHandler(new Callbacks(null));
+    }
+
+    private static void configure(SocketSessionConfig config) {
+        config.setTcpNoDelay(true);
+        config.setIdleTime(IdleStatus.BOTH_IDLE, 0);
+    }
+
+    @Override
+    public void listen(InetSocketAddress address, Supplier<Link> links) throws IOException {
+        acceptor.setHandler(new Callbacks(links));
+        acceptor.bind(address);
+    }
+
+    @Override
+    public void stopAccepting() {
+        acceptor.unbind();
+    }
+
+    @Override
+    public Runnable connect(InetSocketAddress address, Link link) {
+        ConnectFuture future = connector.connect(address, (session, f) -> session.setAttribute(LINK, link));
+        future.addListener(f -> {
+            if (!future.isConnected()) {
+                owner.execute(link::closed);
+            }
+        });
+        return future::cancel;
+    }
+
+    private final class Callbacks extends IoHandlerAdapter {
+        private final Supplier<Link> links;
+
+        Callbacks(Supplier<Link> links) {
+            this.links = links;
+        }
+
+        @Override
+        public void sessionCreated(IoSession session) {
+            if (links != null) {
+                session.setAttribute(LINK, links.get());
+            }
+        }
+
+        private Link link(IoSession session) {
+            return (Link) session.getAttribute(LINK);
+        }
+
+        @Override
+        public void sessionOpened(IoSession session) {
+            Link link = link(session);
+            Channel channel = new SessionChannel(session);
+            owner.execute(() -> link.opened(channel));
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            long at = owner.now();
+            IoBuffer buffer = (IoBuffer) message;
+            byte[] bytes = new byte[buffer.remaining()];
+            buffer.get(bytes);
+            Link link = link(session);
+            owner.execute(() -> link.received(bytes, at));
+        }
+
+        @Override
+        public void messageSent(IoSession session, Object message) {
+            owner.execute(link(session)::sent);
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            owner.execute(link(session)::closed);
+        }
+
+        @Override
+        public void inputClosed(IoSession session) {
+            session.closeNow();
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            session.closeNow();
+        }
+    }
+
+    private record SessionChannel(IoSession session) implements Channel {
+        @Override
+        public void write(byte[] bytes) {
+            session.write(IoBuffer.wrap(bytes));
+        }
+
+        @Override
+        public void close() {
+            session.closeNow();
+        }
+
+        @Override
+        public void closeWhenSent() {
+            session.closeOnFlush();
+        }
+
+        @Override
+        public void hold(boolean stop) {
+            if (stop) {
+                session.suspendRead();
+            } else {
+                session.resumeRead();
+            }
+        }
+    }
+}
--- a/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -3,14 +3,13 @@
 import gorsestack.decision.Outcome;
 import gorsestack.serve.Limits;
 import java.net.InetSocketAddress;
-import org.apache.mina.core.future.ConnectFuture;
 
 /** A connection to an upstream: one shot at a time, kept between shots. */
 public final class UpstreamConnection implements Link {
     /** Who waits for the shot under way. */
     public interface Waiting {
         /** How it ended; the answer only where it was fulfilled. */
-        void ended(UpstreamConnection on, Outcome outcome, Answer answer);
+        void ended(Outcome outcome, Answer answer);
     }
 
     /** Who keeps connections. */
@@ -29,7 +28,7 @@
 
     private final Limits limits;
     private final Keeper keeper;
-    private ConnectFuture connecting;
+    private Runnable giveUpConnecting;
     private Channel channel;
     private HttpParser parser;
     private Waiting waiting;
@@ -37,15 +36,15 @@
     private boolean written;
     private boolean closed;
 
-    UpstreamConnection(Limits limits, Keeper keeper, String upstream, InetSocketAddress address) {
+    public UpstreamConnection(Limits limits, Keeper keeper, String upstream, InetSocketAddress address) {
         this.limits = limits;
         this.keeper = keeper;
         this.upstream = upstream;
         this.address = address;
     }
 
-    void connect(Network network) {
-        connecting = network.connect(address, this);
+    public void connect(Network network) {
+        giveUpConnecting = network.connect(address, this);
     }
 
     /** Sends one shot, once the connection is up. */
@@ -60,10 +59,6 @@
         }
     }
 
-    public boolean up() {
-        return channel != null;
-    }
-
     @Override
     public void opened(Channel opened) {
         channel = opened;
@@ -104,7 +99,7 @@
                     keeper.free(this);
                 }
                 Outcome outcome = outcome(head);
-                by.ended(this, outcome, outcome == Outcome.FULFILLED ? Answer.of(head, body) : null);
+                by.ended(outcome, outcome == Outcome.FULFILLED ? Answer.of(head, body) : null);
             }
         } catch (BadMessage e) {
             end(Outcome.ERROR);
@@ -127,8 +122,8 @@
             waiting = null;
             if (channel != null) {
                 channel.close();
-            } else if (connecting != null) {
-                connecting.cancel();
+            } else if (giveUpConnecting != null) {
+                giveUpConnecting.run();
             }
             keeper.closed(this);
         }
@@ -138,7 +133,7 @@
         Waiting by = waiting;
         close();
         if (by != null) {
-            by.ended(this, outcome, null);
+            by.ended(outcome, null);
         }
     }
 
--- /dev/null
+++ b/src/test/java/gorsestack/memory/CallsTest.java
@@ -0,0 +1,531 @@
+package gorsestack.memory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gorsestack.decision.Upstreams;
+import gorsestack.serve.Limits;
+import gorsestack.simhost.SettingsReader;
+import gorsestack.wire.Catalog;
+import gorsestack.wire.Channel;
+import gorsestack.wire.ClientConnection;
+import gorsestack.wire.Link;
+import gorsestack.wire.Network;
+import gorsestack.wire.Owner;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+
+/** A balancer on sockets and a clock that the test moves. */
+class CallsTest {
+    private static final long MS = 1_000_000;
+    private static final String SETTINGS = """
+        {"az":"a","zones":["a"],"replicasOfMe":1,"tier":1,"step":5,"membershipMode":"subscribe",
+         "limits":{"connIdle":30000,"connectTimeout":120,"mayCancel":true,"mostShots":4,"secondCopies":true,
+           "retryAfter":true,"maxRetryAfter":1500},
+         "rules":{"askWithin":10000,"cold":20000,"coldShare":0.2,"fallMultiple":2.5},
+         "products":[{"name":"read","clientTimeout":3000,"latencySlo":1000,"semantics":"free"},
+           {"name":"once","clientTimeout":3000,"latencySlo":1000,"semantics":"single_shot"},
+           {"name":"mark","clientTimeout":3000,"latencySlo":1000,"semantics":"guarded","keyScope":"zone",
+            "repeatWindow":5000}]}""";
+
+    private record Due(long at, long order, Runnable task) { }
+
+    private static final class Socket implements Channel {
+        InetSocketAddress to;
+        Link link;
+        String out = "";
+        boolean open;
+        boolean up;
+        boolean stuck;
+        boolean held;
+        Rig rig;
+
+        @Override
+        public void write(byte[] bytes) {
+            if (open) {
+                out += new String(bytes, StandardCharsets.ISO_8859_1);
+                rig.touched = to == null || to.equals(Rig.DISCOVERY) ? rig.touched : this;
+                if (!stuck) {
+                    rig.execute(link::sent);
+                }
+            }
+        }
+
+        @Override
+        public void close() {
+            end();
+        }
+
+        @Override
+        public void closeWhenSent() {
+            end();
+        }
+
+        @Override
+        public void hold(boolean stop) {
+            held = stop;
+        }
+
+        void up() {
+            open = true;
+            up = true;
+            rig.execute(() -> link.opened(this));
+            rig.drain();
+        }
+
+        void end() {
+            open = false;
+            rig.execute(link::closed);
+        }
+
+        void say(String text) {
+            byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+            rig.execute(() -> link.received(bytes, rig.now));
+            rig.drain();
+        }
+
+        void ok(String body) {
+            say("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        String taken() {
+            String was = out;
+            out = "";
+            return was;
+        }
+    }
+
+    private static final class Rig implements Owner, Network {
+        long now = 1_700_000_000_000L * MS;
+        long order;
+        final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+                : Long.compare(a.order, b.order));
+        final List<Socket> dialled = new ArrayList<>();
+        boolean answersDials = true;
+        Socket touched;
+        Supplier<Link> links;
+        final Calls calls;
+        static final InetSocketAddress DISCOVERY = Catalog.address("127.0.0.1:8500");
+
+        Rig(String limits, String... upstreams) throws IOException {
+            var json = new ObjectMapper();
+            var settings = json.readTree(SETTINGS);
+            Limits all = Limits.of(json.readTree(limits), settings);
+            calls = new Calls(this, all, SettingsReader.read(settings), 7, this, DISCOVERY, 41);
+            links = () -> new ClientConnection(all, this, calls);
+            calls.news(Catalog.read(json.readTree("{\"index\":41,\"endpoints\":[" + String.join(",", upstreams)
+                    + "]}"), Upstreams.Form.CACHED));
+            calls.open();
+        }
+
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            at(now, task);
+        }
+
+        @Override
+        public Runnable at(long time, Runnable task) {
+            Due due = new Due(Math.max(time, now), order++, task);
+            dues.add(due);
+            return () -> dues.remove(due);
+        }
+
+        void drain() {
+            pass(0);
+        }
+
+        void pass(long ms) {
+            long until = now + ms * MS;
+            while (!dues.isEmpty() && dues.peek().at <= until) {
+                Due due = dues.poll();
+                now = due.at;
+                due.task.run();
+            }
+            now = until;
+        }
+
+        @Override
+        public void listen(InetSocketAddress address, Supplier<Link> given) { }
+
+        @Override
+        public void stopAccepting() { }
+
+        @Override
+        public Runnable connect(InetSocketAddress address, Link link) {
+            Socket s = new Socket();
+            s.rig = this;
+            s.to = address;
+            s.link = link;
+            dialled.add(s);
+            touched = address.equals(DISCOVERY) ? touched : s;
+            if (answersDials) {
+                s.open = true;
+                s.up = true;
+                execute(() -> link.opened(s));
+            }
+            return s::end;
+        }
+
+        Socket client() {
+            Socket s = new Socket();
+            s.rig = this;
+            s.link = links.get();
+            s.up();
+            return s;
+        }
+
+        /** The connections opened to upstreams. */
+        List<Socket> shots() {
+            return dialled.stream().filter(s -> !s.to.equals(DISCOVERY)).toList();
+        }
+
+        /** The one that was opened or written to last. */
+        Socket last() {
+            return touched;
+        }
+
+        Socket watch() {
+            List<Socket> all = dialled.stream().filter(s -> s.to.equals(DISCOVERY)).toList();
+            return all.isEmpty() ? null : all.get(all.size() - 1);
+        }
+    }
+
+    private static String up(int n, String status) {
+        return "{\"name\":\"s" + n + "\",\"address\":\"127.0.1." + n + ":80\",\"zone\":\"a\",\"status\":\"" + status + "\"}";
+    }
+
+    private static Rig rig(int upstreams) throws IOException {
+        String[] all = new String[upstreams];
+        for (int i = 0; i < upstreams; i++) {
+            all[i] = up(i + 1, "in_service");
+        }
+        return new Rig("{}", all);
+    }
+
+    private static String call(String product, String id) {
+        return (product.equals("read") ? "GET" : "POST") + " /" + product + " HTTP/1.1\r\nX-Correlation-Id: " + id
+                + "\r\nX-Time-Left: 2000m\r\n" + (product.equals("mark") ? "Idempotency-Key: k\r\n" : "")
+                + (product.equals("read") ? "\r\n" : "Content-Length: 2\r\n\r\nhi");
+    }
+
+    private static void answered(int status, Socket client) {
+        assertTrue(client.out.startsWith("HTTP/1.1 " + status + " "), client.out);
+        assertEquals(client.out.lastIndexOf("HTTP/1.1 "), 0, client.out);
+        client.taken();
+    }
+
+    @Test
+    void givesTheClientTheUpstreamsBodyAndKeepsBothConnections() throws IOException {
+        Rig rig = rig(1);
+        Socket client = rig.client();
+        for (int i = 0; i < 3; i++) {
+            client.say(call("once", "c" + i));
+            assertEquals("POST /once HTTP/1.1\r\nX-Correlation-Id: c" + i
+                    + "\r\nX-Time-Left: 1990000u\r\nContent-Length: 2\r\n\r\nhi", rig.last().taken());
+            rig.last().ok("body" + i);
+            assertTrue(client.out.endsWith("\r\n\r\nbody" + i), client.out);
+            answered(200, client);
+        }
+        assertEquals(1, rig.shots().size());
+    }
+
+    /** Rule 1: seen on a day of overload; a connection came up just after the answer and got the request. */
+    @Test
+    void sendsNothingOnAConnectionThatComesUpAfterTheAnswer() throws IOException {
+        Rig rig = rig(2);
+        Socket client = rig.client();
+        client.say(call("read", "c"));
+        Socket first = rig.last();
+        rig.answersDials = false;
+        for (int i = 0; i < 40; i++) {
+            rig.client().say(call("read", "w" + i)); // answers that earn a copy
+            if (!rig.last().up) {
+                rig.last().up();
+            }
+            rig.last().ok("x");
+        }
+        rig.shots().stream().filter(s -> s != first).forEach(Socket::end);
+        rig.pass(610);
+        Socket copy = rig.last();
+        assertFalse(copy.up, "a copy is under way, its connection not up");
+        // The answer and the connection come in one after the other, before anything else is looked at.
+        rig.execute(() -> first.link.received("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(
+                StandardCharsets.US_ASCII), rig.now));
+        copy.open = true;
+        rig.execute(() -> copy.link.opened(copy));
+        rig.drain();
+        answered(200, client);
+        assertEquals("", copy.out);
+        assertFalse(copy.open);
+    }
+
+    @Test
+    void takesABreakAsNeverRunOnlyBeforeTheLastByte() throws IOException {
+        Rig rig = rig(2);
+        rig.answersDials = false;
+        Socket client = rig.client();
+        client.say(call("once", "c1"));
+        Socket first = rig.last();
+        first.stuck = true;
+        first.up();
+        first.end();
+        rig.drain();
+        Socket second = rig.last();
+        assertTrue(second != first, "it never ran there, so it may go elsewhere");
+        second.up();
+        second.end();
+        rig.drain();
+        assertEquals(2, rig.shots().size(), "it may have run");
+        answered(502, client);
+    }
+
+    @Test
+    void takesOnlyTheMarkAsProofThatNothingRan() throws IOException {
+        Rig rig = rig(2);
+        Socket client = rig.client();
+        client.say(call("once", "c1"));
+        rig.last().say("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(2, rig.shots().size());
+        rig.last().say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        answered(502, client);
+        assertEquals(2, rig.shots().size());
+        client.say(call("once", "c2"));
+        rig.last().say("HTTP/1.1 200 OK\r\n\r\nan answer that has no end");
+        answered(502, client);
+    }
+
+    @Test
+    void bytesThatComeLateReachNoOtherCall() throws IOException {
+        Rig rig = rig(1);
+        Socket client = rig.client();
+        client.say(call("read", "c1"));
+        Socket first = rig.last();
+        first.say("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+        answered(200, client);
+        assertFalse(first.open, "more came than was asked for");
+        client.say(call("read", "c2"));
+        Socket second = rig.last();
+        second.ok("b");
+        answered(200, client);
+        second.say("late");
+        assertFalse(second.open);
+        client.say(call("read", "c3"));
+        Socket third = rig.last();
+        client.end();
+        rig.drain();
+        assertFalse(third.open, "the client has gone, its shot is given up");
+        third.ok("late");
+        Socket other = rig.client();
+        other.say(call("read", "c4"));
+        rig.last().ok("d");
+        assertTrue(other.out.endsWith("d"), other.out);
+    }
+
+    /** Danger: an idle connection at the upstream's limit ends as a reset that may have run. */
+    @Test
+    void retiresIdleConnectionsEarlyAndUsesTheNewestFirst() throws IOException {
+        Rig rig = rig(1);
+        Socket a = rig.client();
+        Socket b = rig.client();
+        a.say(call("read", "a"));
+        b.say(call("read", "b"));
+        rig.shots().get(0).ok("a");
+        rig.pass(500);
+        rig.shots().get(1).ok("b");
+        rig.pass(9_500);
+        a.say(call("read", "c"));
+        rig.shots().get(1).ok("c");
+        rig.pass(12_000);
+        assertFalse(rig.shots().get(0).open, "22 s idle of 30");
+        assertTrue(rig.shots().get(1).open);
+        rig.pass(10_000);
+        assertFalse(rig.shots().get(1).open);
+    }
+
+    @Test
+    void boundsConnectingAndTriesElsewhere() throws IOException {
+        Rig rig = rig(2);
+        rig.answersDials = false;
+        rig.client().say(call("once", "c"));
+        assertEquals(1, rig.shots().size());
+        rig.pass(121);
+        assertEquals(2, rig.shots().size(), "no connection in time proves that it never ran");
+        assertTrue(!rig.shots().get(0).to.equals(rig.last().to));
+    }
+
+    @Test
+    void acceptsAndAnswersWithAllUpstreamConnectionsTaken() throws IOException {
+        Rig rig = new Rig("{\"sockets\":68}", up(1, "in_service"), up(2, "in_service"));
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 13; i++) {
+            clients.add(rig.client());
+            clients.get(i).say(call("once", "c" + i));
+        }
+        assertEquals(8, rig.shots().size());
+        answered(429, clients.get(12));
+        assertFalse(clients.get(8).open, "one client too many: the one longest between calls is closed");
+        rig.shots().get(0).ok("x");
+        rig.shots().get(1).ok("x");
+        Socket next = rig.client();
+        next.say(call("once", "next"));
+        rig.drain();
+        assertEquals(1, rig.shots().stream().filter(s -> s.open && s.out.contains("next")).count());
+        for (int i = 0; i < 12; i++) {
+            rig.client().say("GET /read ");
+        }
+        Socket over = rig.client();
+        over.say(call("once", "over"));
+        answered(503, over);
+    }
+
+    /** Danger: a machine cut off leaves its idle connections open, and each would swallow a call. */
+    @Test
+    void dropsIdleConnectionsToASilentUpstream() throws IOException {
+        Rig rig = rig(1);
+        Socket a = rig.client();
+        Socket b = rig.client();
+        a.say(call("read", "a"));
+        b.say(call("read", "b"));
+        rig.shots().get(0).ok("a");
+        rig.shots().get(1).ok("b");
+        rig.pass(100);
+        a.say(call("once", "c"));
+        rig.pass(1200);
+        assertEquals(1, rig.shots().stream().filter(s -> s.open).count(), "only the shot that is out");
+    }
+
+    private static void watched(Rig rig, String line) {
+        rig.watch().say(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+    }
+
+    private static Rig watching(int upstreams) throws IOException {
+        Rig rig = rig(upstreams);
+        rig.pass(2_100);
+        assertNotNull(rig.watch());
+        assertTrue(rig.watch().out.startsWith("GET /catalog/members?watch=1&after=41 HTTP/1.1\r\n"));
+        rig.watch().say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        return rig;
+    }
+
+    /** Rule 3: of a drain a balancer has to hear; a watch that is cut off says nothing for ever. */
+    @Test
+    void takesUpAWatchThatFellSilent() throws IOException {
+        Rig rig = watching(1);
+        Socket first = rig.watch();
+        watched(rig, "{\"index\":43,\"snapshot\":false,\"endpoints\":[]}");
+        rig.pass(4_000);
+        watched(rig, "");
+        rig.pass(4_900);
+        assertTrue(rig.watch() == first && first.open);
+        rig.pass(700);
+        assertFalse(first.open);
+        assertTrue(rig.watch().out.startsWith("GET /catalog/members?watch=1&after=43 "), rig.watch().out);
+        rig.watch().end();
+        rig.pass(1_000);
+        Socket failed = rig.watch();
+        rig.pass(7_000);
+        assertTrue(rig.watch() != failed, "asked again when the module says so");
+    }
+
+    @Test
+    void followsDrainsAndAddressesAndLivesThroughBadLines() throws IOException {
+        Rig rig = watching(2);
+        for (int i = 0; i < 2; i++) {
+            rig.client().say(call("read", "c" + i));
+            rig.last().ok("x");
+        }
+        List<Socket> before = rig.shots();
+        watched(rig, "{\"index\":44,\"endpoints\":[{\"name\":5},{\"name\":\"\"},{\"name\":\"s9\",\"address\":\"host:80\",\"status\":"
+                + "\"in_service\"}," + up(1, "terminating") + "," + up(2, "in_service").replace("1.2:80", "1.7:81") + "]}");
+        assertTrue(before.stream().noneMatch(s -> s.open), "one drains, one has moved");
+        for (int i = 0; i < 6; i++) {
+            rig.client().say(call("read", "d" + i));
+            assertEquals("/127.0.1.7:81", rig.last().to.toString());
+        }
+        Socket watch = rig.watch();
+        watched(rig, "no json");
+        assertFalse(watch.open);
+        rig.pass(600);
+        assertTrue(rig.watch().open && rig.watch().out.contains("after=44 "), "nothing is passed over");
+    }
+
+    @Test
+    void answersWhatItHoldsAtTheEndAndClosesBetweenCalls() throws IOException {
+        Rig rig = rig(2);
+        Socket idle = rig.client();
+        Socket busy = rig.client();
+        busy.say(call("once", "c"));
+        rig.calls.end();
+        Socket late = rig.client();
+        late.say("GET /_health HTTP/1.1\r\n\r\n");
+        answered(503, late);
+        Socket still = rig.client();
+        still.say(call("read", "d"));
+        boolean[] quiet = {false};
+        assertTrue(idle.open);
+        rig.calls.closeIdle(() -> quiet[0] = true);
+        rig.drain();
+        assertFalse(idle.open);
+        rig.shots().get(0).ok("c");
+        assertTrue(busy.out.contains("Connection: close\r\n") && busy.out.endsWith("c") && !quiet[0], busy.out);
+        rig.shots().get(1).ok("d");
+        answered(200, still);
+        assertTrue(quiet[0]);
+    }
+
+    @Test
+    void givesBadInputADefiniteAnswer() throws IOException {
+        String[][] rows = {{"404", call("read", "c").replace("/read", "/other")},
+            {"400", call("mark", "c").replace("Idempotency-Key: k\r\n", "")},
+            {"400", call("read", "c").replace("2000m", "soon")}, {"502", call("read", "c").replace("2000m", "0m")},
+            {"413", call("once", "c").replace("Length: 2", "Length: 70000")}, {"400", "nonsense\r\n\r\n"}};
+        for (String[] row : rows) {
+            Rig rig = rig(1);
+            Socket client = rig.client();
+            client.say(row[1]);
+            answered(Integer.parseInt(row[0]), client);
+            assertEquals(0, rig.shots().size(), row[1]);
+        }
+    }
+
+    @Test
+    void waitsWithWhatAClientSendsAhead() throws IOException {
+        Rig rig = rig(1);
+        Socket client = rig.client();
+        client.say(call("read", "c1") + call("read", "c2"));
+        client.say("x".repeat(70_000));
+        assertTrue(client.held, "no more is read than can be kept");
+        rig.last().ok("1");
+        assertTrue(client.out.endsWith("1"), client.out);
+        client.taken();
+        rig.last().ok("2");
+        assertTrue(client.out.contains("\r\n\r\n2"), client.out);
+    }
+
+    /** The same id twice while the first is out: each has its own answer. */
+    @Test
+    void tellsCallsOfOneIdApart() throws IOException {
+        Rig rig = rig(1);
+        Socket a = rig.client();
+        Socket b = rig.client();
+        a.say(call("read", "c"));
+        b.say(call("read", "c"));
+        rig.shots().get(1).ok("b");
+        rig.shots().get(0).ok("a");
+        assertTrue(a.out.endsWith("a") && b.out.endsWith("b"), a.out + b.out);
+    }
+}
--- /dev/null
+++ b/src/test/java/gorsestack/wire/HttpParserTest.java
@@ -0,0 +1,112 @@
+package gorsestack.wire;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gorsestack.serve.Limits;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+class HttpParserTest {
+    private static final Limits LIMITS = Limits.of(new ObjectMapper().createObjectNode(),
+            new ObjectMapper().createObjectNode());
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Feeds the text in two pieces, and byte by byte where the cut is 0; checks that it stops at the end. */
+    private static HttpParser fed(boolean request, String text, int cut) throws BadMessage {
+        HttpParser parser = request ? HttpParser.request(LIMITS) : HttpParser.answer(LIMITS);
+        byte[] all = bytes(text + "more");
+        if (cut == 0) {
+            for (int i = 0; i < text.length(); i++) {
+                assertFalse(parser.done(), "done at byte " + i);
+                assertEquals(i + 1, parser.feed(all, i, i + 1));
+            }
+        } else {
+            assertEquals(cut, parser.feed(all, 0, cut));
+            assertEquals(text.length(), parser.feed(all, cut, all.length));
+        }
+        assertTrue(parser.done());
+        return parser;
+    }
+
+    @Test
+    void readsRequestsSplitAtEveryByte() throws BadMessage {
+        String head = "POST /publicar/x?a=b HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: 9b1f\r\n"
+                + "x-time-left:480m\r\nIdempotency-Key:  k 1 \r\nConnection: X-Own\r\nX-Own: 1\r\n";
+        String fixed = head + "Content-Length: 5\r\n\r\nhel\0o";
+        String chunked = head + "Transfer-Encoding: chunked\r\n\r\n3;q=1\r\nhel\r\n02\r\n\0o\r\n0\r\nT: 1\r\n\r\n";
+        for (String text : new String[] {fixed, chunked, "\r\n" + fixed}) {
+            for (int cut = 0; cut < text.length(); cut++) {
+                HttpParser parser = fed(true, text, cut);
+                Request request = Request.of(parser.head(), parser.body());
+                assertEquals("9b1f publicar 480000000 true", request.id() + " " + request.product() + " "
+                        + request.left() + " " + request.hasKey());
+                assertEquals("POST /publicar/x?a=b HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: 9b1f\r\n"
+                        + "Idempotency-Key:  k 1 \r\nX-Time-Left: 7000u\r\nContent-Length: 5\r\n\r\nhel\0o",
+                        new String(request.forward(7_000_000), StandardCharsets.ISO_8859_1));
+            }
+        }
+    }
+
+    @Test
+    void readsAnswersSplitAtEveryByte() throws BadMessage {
+        for (String text : new String[] {
+            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-A: b\r\n\r\nabc",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200\r\nX-A: b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"}) {
+            for (int cut = 0; cut < text.length(); cut++) {
+                HttpParser parser = fed(false, text, cut);
+                assertEquals("200", parser.head().start[1]);
+                assertArrayEquals(bytes("abc"), parser.body());
+                assertEquals("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-A: b\r\n\r\nabc", new String(
+                        Answer.of(parser.head(), parser.body()).bytes(false), StandardCharsets.ISO_8859_1));
+            }
+        }
+    }
+
+    private static int refused(boolean request, String text) {
+        byte[] all = bytes(text);
+        HttpParser parser = request ? HttpParser.request(LIMITS) : HttpParser.answer(LIMITS);
+        return assertThrows(BadMessage.class, () -> {
+            parser.feed(all, 0, all.length);
+            Request.of(parser.head(), parser.body());
+        }, text).status;
+    }
+
+    /** Danger: two readers that see different ends of a message; the second call is one that nobody sent. */
+    @Test
+    void refusesWhatCanBeReadInTwoWays() {
+        String get = "GET /a HTTP/1.1\r\nX-Correlation-Id: 1\r\n";
+        for (String more : new String[] {"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "Content-Length: 1\r\nContent-Length: 2\r\n\r\n", "Content-Length: +1\r\n\r\n", "Content-Length:\r\n\r\n",
+            "Transfer-Encoding: gzip\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n-1\r\n", "A : b\r\n\r\n",
+            " folded\r\n\r\n", "nothing\r\n\r\n", "A: b\n\r\n", "A: b\r\n\n", "A: b\rC: d\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", "X-Time-Left: 5\r\n\r\n", "X-Time-Left: -5m\r\n\r\n"}) {
+            assertEquals(400, refused(true, get + more), more);
+        }
+        assertEquals(400, refused(true, "GET /a\r\n\r\n"));
+        assertEquals(400, refused(true, "\0\1\2\r\n\r\n"));
+        assertEquals(400, refused(true, "GET /a HTTP/1.1\r\n\r\n"), "no id");
+        assertEquals(405, refused(true, "HEAD /a HTTP/1.1\r\nX-Correlation-Id: 1\r\n\r\n"));
+        assertEquals(413, refused(true, get + "Content-Length: 65537\r\n\r\n"));
+        assertEquals(413, refused(true, get + "Transfer-Encoding: chunked\r\n\r\n10001\r\n" + "x".repeat(65537)));
+        assertEquals(431, refused(true, get + "A: " + "x".repeat(20000)));
+        assertEquals(400, refused(false, "HTTP/1.1 200 OK\r\n\r\nno length"));
+        assertEquals(400, refused(false, "HTTP/1.1 abc OK\r\nContent-Length: 0\r\n\r\n"));
+    }
+
+    @Test
+    void tellsAndReadsTheTimeLeftInBothUnits() throws BadMessage {
+        assertEquals(1_500_000, TimeLeft.read("1500u"));
+        assertEquals(480_250_000, TimeLeft.read("480.25m"));
+        assertEquals(-1, TimeLeft.read(null));
+        assertEquals("480250u", TimeLeft.write(480_250_999));
+        assertEquals("0u", TimeLeft.write(-5));
+    }
+}
