--- a/src/main/java/gorsestack/Main.java
+++ b/src/main/java/gorsestack/Main.java
@@ -40,6 +40,9 @@
                 description = "the balancer's configuration; by default what ROUTER_CONFIG names")
         private Path config;
 
+        @Option(names = "--check", description = "reads the configuration, starts until ready, and ends")
+        private boolean check;
+
         @Override
         public Integer call() throws InterruptedException {
             System.setProperty("java.util.logging.SimpleFormatter.format",
@@ -50,6 +53,10 @@
                 System.err.println("gorsestack: " + config + ": " + e.getMessage().lines().findFirst().orElse(""));
                 return CommandLine.ExitCode.USAGE;
             }
+            if (check) {
+                System.out.println("gorsestack: " + config + ": good");
+                return CommandLine.ExitCode.OK;
+            }
             Thread.currentThread().join();
             return CommandLine.ExitCode.OK;
         }
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -18,7 +18,8 @@
         long linger,
         long acceptAfterTerm,
         long endAfterTerm,
-        long sweep) {
+        long sweep,
+        long warmUp) {
 
     private static final long MS = 1_000_000;
 
@@ -49,6 +50,8 @@
                 600 * MS,
                 // SIGKILL comes 3.7 s after SIGTERM at the soonest.
                 3_500 * MS,
-                500 * MS);
+                500 * MS,
+                // Each of the two parts of the warm-up takes a third of that on a core of its own.
+                1_000 * MS);
     }
 }
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -39,8 +39,10 @@
         owner.execute(() -> calls.news(configuration.known()));
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
         network.listen(configuration.listen(), () -> new ClientConnection(limits, owner, calls));
+        WarmUp.calls(limits, configuration.settings(), limits.warmUp());
+        WarmUp.sockets(network, owner, configuration.listen(), limits.warmUp());
         owner.execute(calls::open);
-        LOG.log(System.Logger.Level.INFO, "{0} listens on {1}", configuration.name(), configuration.listen());
+        LOG.log(System.Logger.Level.INFO, "{0} is ready on {1}", configuration.name(), configuration.listen());
     }
 
     /** SIGTERM: goes on accepting for a while, answers what it holds, closes between calls, and ends in time. */
--- /dev/null
+++ b/src/main/java/gorsestack/serve/WarmUp.java
@@ -0,0 +1,201 @@
+package gorsestack.serve;
+
+import gorsestack.decision.Settings;
+import gorsestack.decision.Upstreams;
+import gorsestack.memory.Calls;
+import gorsestack.wire.Catalog;
+import gorsestack.wire.Channel;
+import gorsestack.wire.ClientConnection;
+import gorsestack.wire.Link;
+import gorsestack.wire.Network;
+import gorsestack.wire.Owner;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Danger: a cold JVM's first calls are late. Before the balancer says that it is ready, a second one of the same
+ * make answers calls in memory, with a module of its own, and the real sockets carry some health checks.
+ */
+final class WarmUp {
+    /** Some hundred invocations get a method compiled. */
+    private static final int CALLS = 600;
+    private static final int CONNECTIONS = 25;
+    private static final int CHECKS = 8;
+    private static final byte[] OK = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Type: text/plain\r\n\r\nwarm\n"
+            .getBytes(StandardCharsets.US_ASCII);
+
+    private WarmUp() { }
+
+    /** Calls through everything but the sockets; upstreams answer at once, and some break instead. */
+    static void calls(Limits limits, Settings settings, long nanos) {
+        Loop loop = new Loop();
+        Calls calls = new Calls(loop, limits, settings, 1, loop, new InetSocketAddress(0), 0);
+        List<Upstreams.Entry> entries = new java.util.ArrayList<>();
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
+        for (int i = 0; i < 12; i++) {
+            String zone = settings.zones().isEmpty() ? "" : settings.zones().get(i % settings.zones().size());
+            entries.add(new Upstreams.Entry("w" + i, Upstreams.State.READY, 0, i, 1, "", zone));
+            addresses.put("w" + i, new InetSocketAddress(1 + i));
+        }
+        calls.news(new Catalog(0, new Upstreams(Upstreams.Form.FULL, entries), addresses));
+        long end = loop.now() + nanos;
+        for (int i = 0; i < CALLS && loop.now() < end; i++) {
+            Settings.Product product = settings.products().get(i % settings.products().size());
+            ClientConnection client = new ClientConnection(limits, loop, calls);
+            Loop.Pipe pipe = loop.new Pipe(client, false);
+            client.opened(pipe);
+            byte[] request = ("POST /" + product.name() + "/x HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: " + i
+                    + "\r\nX-Time-Left: 1500m\r\nIdempotency-Key: " + i + "\r\nContent-Length: 64\r\n\r\n"
+                    + "x".repeat(64)).getBytes(StandardCharsets.US_ASCII);
+            client.received(request, loop.now());
+            loop.drain();
+            pipe.close();
+            loop.drain();
+        }
+    }
+
+    /** Health checks over real sockets, to this balancer's own address. */
+    static void sockets(Network network, Owner owner, InetSocketAddress self, long nanos) {
+        CountDownLatch left = new CountDownLatch(CONNECTIONS);
+        owner.execute(() -> new Check(network, self, left, CONNECTIONS).start());
+        try {
+            left.await(nanos, TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** One connection after the other, some checks on each. */
+    private static final class Check implements Link {
+        private final Network network;
+        private final InetSocketAddress self;
+        private final CountDownLatch left;
+        private final int connections;
+        private Channel channel;
+        private int checks;
+        private boolean over;
+
+        Check(Network network, InetSocketAddress self, CountDownLatch left, int connections) {
+            this.network = network;
+            this.self = self;
+            this.left = left;
+            this.connections = connections;
+        }
+
+        void start() {
+            network.connect(self, this);
+        }
+
+        @Override
+        public void opened(Channel opened) {
+            channel = opened;
+            received(null, 0);
+        }
+
+        @Override
+        public void received(byte[] bytes, long at) {
+            if (checks++ < CHECKS) {
+                channel.write("GET /_health HTTP/1.1\r\nHost: self\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            } else {
+                channel.close();
+            }
+        }
+
+        @Override
+        public void sent() { }
+
+        @Override
+        public void closed() {
+            if (!over) {
+                over = true;
+                left.countDown();
+                if (connections > 1) {
+                    new Check(network, self, left, connections - 1).start();
+                }
+            }
+        }
+    }
+
+    /** A network and a thread that are neither: what is handed over is done in turn, timers never. */
+    private static final class Loop implements Owner, Network {
+        private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
+        private int answers;
+
+        final class Pipe implements Channel {
+            private final Link link;
+            private final boolean upstream;
+            private boolean closed;
+
+            Pipe(Link link, boolean upstream) {
+                this.link = link;
+                this.upstream = upstream;
+            }
+
+            @Override
+            public void write(byte[] bytes) {
+                execute(link::sent);
+                if (upstream && ++answers % 20 != 0) {
+                    execute(() -> link.received(OK, now()));
+                } else if (upstream) {
+                    close();
+                }
+            }
+
+            @Override
+            public void close() {
+                if (!closed) {
+                    closed = true;
+                    execute(link::closed);
+                }
+            }
+
+            @Override
+            public void closeWhenSent() {
+                close();
+            }
+
+            @Override
+            public void hold(boolean stop) { }
+        }
+
+        void drain() {
+            for (Runnable task; (task = tasks.poll()) != null;) {
+                task.run();
+            }
+        }
+
+        @Override
+        public long now() {
+            return System.nanoTime();
+        }
+
+        @Override
+        public Runnable at(long time, Runnable task) {
+            return () -> { };
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            tasks.add(task);
+        }
+
+        @Override
+        public void listen(InetSocketAddress address, Supplier<Link> links) { }
+
+        @Override
+        public void stopAccepting() { }
+
+        @Override
+        public Runnable connect(InetSocketAddress address, Link link) {
+            execute(() -> link.opened(new Pipe(link, true)));
+            return () -> { };
+        }
+    }
+}
