Close a client's connection only with an answer, never while it stands idle

At fault: Calls.opened made room by closing an idle client connection, and a call may be on its way there. Now a connection over the bound is closed with its next answer, which says so, and at the end after SIGTERM each idle one in a task of its own behind all that had been read.

--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -254,9 +254,6 @@
     @Override
     public void opened(ClientConnection from) {
         clients.add(from);
-        if (clients.size() > limits.clientConnections()) {
-            clients.stream().filter(c -> c != from && c.idle()).findFirst().ifPresent(ClientConnection::closeIfIdle);
-        }
     }
 
     @Override
@@ -273,7 +270,9 @@
     }
 
     @Override
-    public boolean closing(ClientConnection from) {
+    public boolean closing() {
+        // Danger: closed while idle, a connection takes the call with it that is on its way; seen with few
+        // descriptors. Just after an answer that says so there is none.
         return ending || clients.size() > limits.clientConnections();
     }
 
@@ -305,7 +304,8 @@
 
     /** Closes the connections between calls, and says when the last call has been answered. */
     public void closeIdle(Runnable quiet) {
-        List.copyOf(clients).forEach(ClientConnection::closeIfIdle);
+        // One task each, behind what has been read by then: a call that waits its turn is not closed on.
+        clients.forEach(c -> owner.execute(c::closeIfIdle));
         whenQuiet = quiet;
         quiet();
     }
--- a/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/src/main/java/gorsestack/wire/ClientConnection.java
@@ -21,7 +21,7 @@
         boolean ready();
 
         /** Whether connections are to be closed after the next answer. */
-        boolean closing(ClientConnection from);
+        boolean closing();
 
         /** Whether a repeat of this product is known by its key. */
         boolean needsKey(String product);
@@ -127,7 +127,7 @@
         if (closed || !busy || deaf) {
             return;
         }
-        last |= intake.closing(this);
+        last |= intake.closing();
         channel.write(answer.bytes(last));
         if (last) {
             deaf = true;
@@ -148,22 +148,12 @@
         }
     }
 
-    /** Closes between calls; false where one is under way or has begun to come. */
-    public boolean closeIfIdle() {
-        if (busy || parser.begun()) {
-            return false;
+    /** Closes between calls; where one is under way, its answer does. */
+    public void closeIfIdle() {
+        if (!busy && !parser.begun()) {
+            deaf = true;
+            channel.close();
         }
-        deaf = true;
-        channel.close();
-        return true;
-    }
-
-    public boolean idle() {
-        return !busy && !parser.begun();
-    }
-
-    public long lastByteAt() {
-        return lastByteAt;
     }
 
     @Override
