--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -90,6 +90,8 @@
     private final Discovery discovery;
     /** The time of the input that the module is at; what it asks for counts from there. */
     private long now;
+    private int notSent;
+    private int turnedAway;
     private boolean ready;
     private boolean ending;
     private Runnable whenQuiet;
@@ -118,6 +120,7 @@
     public void call(ClientConnection from, Request request, long arrivedAt) {
         if (clients.size() > limits.clientConnections()) {
             // Danger: out of descriptors; a call that was accepted is answered, and its connection given back.
+            turnedAway++;
             from.answer(Answer.own(503, "", "too many connections"));
             return;
         }
@@ -188,6 +191,7 @@
         c.out++;
         s.connection = pool.take(upstream);
         if (s.connection == null) {
+            notSent++;
             owner.execute(() -> s.ended(Outcome.NOT_SENT, null));
             return;
         }
@@ -319,6 +323,12 @@
 
     private void sweep() {
         pool.retire();
+        if (notSent + turnedAway > 0) {
+            LOG.log(System.Logger.Level.WARNING, "out of connections: {0} shots not sent, {1} calls turned away",
+                    notSent, turnedAway);
+            notSent = 0;
+            turnedAway = 0;
+        }
         long at = owner.now();
         for (Shot s : out) {
             // Danger: a machine cut off leaves its idle connections open, and each would swallow a call. A
