Bound what a slow or idle client can hold, and what is kept of upstreams that are gone

After 10 s without its end a request is now answered 408; past the bound idle connections are closed after 10 s; the end after SIGTERM waits for the longest client timeout and 0.65 s, as a call taken 0.6 s after it may need. Errors for want of time are 504 now, others 502.

--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -137,7 +137,6 @@
         long end = arrivedAt + left;
         c.net = owner.at(end - limits.net(), () -> unanswered(c));
         choice.apiCall(tick(), c.id, request.product(), null, Math.max(0, end - now));
-        forgetIfOver(c);
     }
 
     /** Rule 1: whatever fault keeps the module from it, a call that was taken has an answer in time. */
@@ -146,7 +145,6 @@
             LOG.log(System.Logger.Level.ERROR, "call {0} was left unanswered; answered 504", c.id);
             answer(c.id, Answer.own(504, "", "no answer in time"));
             choice.clientGone(tick(), c.id);
-            forgetIfOver(c);
         }
     }
 
@@ -162,6 +160,9 @@
 
     @Override
     public void news(Catalog catalog) {
+        if (catalog.news().form() != Upstreams.Form.CHANGES) {
+            pool.keepOnly(catalog.addresses().keySet());
+        }
         catalog.addresses().forEach(pool::address);
         for (Upstreams.Entry e : catalog.news().entries()) {
             if (e.state() != Upstreams.State.READY) {
@@ -225,7 +226,8 @@
 
     @Override
     public void errored(String apiCall) {
-        answer(apiCall, Answer.own(502, "", "no upstream answered"));
+        boolean late = calls.get(apiCall).shots.stream().anyMatch(s -> !s.over);
+        answer(apiCall, late ? Answer.own(504, "", "no answer in time") : Answer.own(502, "", "no upstream answered"));
     }
 
     private void answer(String apiCall, Answer answer) {
@@ -234,6 +236,7 @@
             c.end();
             byClient.remove(c.client);
             c.client.answer(answer);
+            forgetIfOver(c);
         }
     }
 
@@ -309,7 +312,7 @@
     /** Closes the connections between calls, and says when the last call has been answered. */
     public void closeIdle(Runnable quiet) {
         // One task each, behind what has been read by then: a call that waits its turn is not closed on.
-        clients.forEach(c -> owner.execute(c::closeIfIdle));
+        clients.forEach(c -> owner.execute(() -> c.closeIfIdleSince(owner.now())));
         whenQuiet = quiet;
         quiet();
     }
@@ -323,6 +326,13 @@
 
     private void sweep() {
         pool.retire();
+        long old = owner.now() - limits.wholeRequest();
+        for (ClientConnection c : clients) {
+            c.giveUpIfBegunBefore(old);
+            if (clients.size() > limits.clientConnections()) {
+                owner.execute(() -> c.closeIfIdleSince(old));
+            }
+        }
         if (notSent + turnedAway > 0) {
             LOG.log(System.Logger.Level.WARNING, "out of connections: {0} shots not sent, {1} calls turned away",
                     notSent, turnedAway);
--- a/src/main/java/gorsestack/memory/Pool.java
+++ b/src/main/java/gorsestack/memory/Pool.java
@@ -38,6 +38,16 @@
         }
     }
 
+    /** A whole list has come: what it does not name is gone for good. */
+    void keepOnly(Set<String> upstreams) {
+        List.copyOf(addresses.keySet()).stream().filter(u -> !upstreams.contains(u)).forEach(u -> {
+            drop(u);
+            addresses.remove(u);
+            idle.remove(u);
+            heardAt.remove(u);
+        });
+    }
+
     /** A connection for one shot, the idle one used last or a new one; null if there can be none. */
     UpstreamConnection take(String upstream) {
         ArrayDeque<UpstreamConnection> kept = idle.get(upstream);
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -16,6 +16,7 @@
         long watchSilence,
         long watchSpread,
         long linger,
+        long wholeRequest,
         long acceptAfterTerm,
         long endAfterTerm,
         long sweep,
@@ -30,6 +31,10 @@
         int sockets = Math.max(64, limits.path("sockets").asInt(1024)) - 48;
         long connect = (long) (settings.path("limits").path("connectTimeout").asDouble(250) * MS);
         long idle = (long) (settings.path("limits").path("connIdle").asDouble(15_000) * MS);
+        double longest = 0;
+        for (JsonNode product : settings.path("products")) {
+            longest = Math.max(longest, product.path("clientTimeout").asDouble(0));
+        }
         return new Limits(
                 // Clients get the larger part: what cannot be accepted is lost, a shot not sent is only told.
                 sockets * 6 / 10,
@@ -47,10 +52,12 @@
                 5_000 * MS,
                 500 * MS,
                 1_000 * MS,
+                // Longer than any client waits for an answer.
+                10_000 * MS,
                 // New connections go on coming for 0.2 to 0.4 s after SIGTERM.
                 600 * MS,
-                // SIGKILL comes 3.7 s after SIGTERM at the soonest.
-                3_500 * MS,
+                // SIGKILL comes no sooner than the longest client timeout and 0.7 s more.
+                (long) (longest * MS) + 650 * MS,
                 500 * MS,
                 // Each of the two parts of the warm-up takes a third of that on a core of its own.
                 1_000 * MS,
--- a/src/main/java/gorsestack/wire/Answer.java
+++ b/src/main/java/gorsestack/wire/Answer.java
@@ -37,6 +37,7 @@
             case 400 -> "Bad Request";
             case 404 -> "Not Found";
             case 405 -> "Method Not Allowed";
+            case 408 -> "Request Timeout";
             case 413 -> "Content Too Large";
             case 429 -> "Too Many Requests";
             case 431 -> "Request Header Fields Too Large";
--- a/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/src/main/java/gorsestack/wire/ClientConnection.java
@@ -56,6 +56,7 @@
     @Override
     public void opened(Channel opened) {
         channel = opened;
+        lastByteAt = owner.now();
         intake.opened(this);
     }
 
@@ -148,9 +149,16 @@
         }
     }
 
-    /** Closes between calls; where one is under way, its answer does. */
-    public void closeIfIdle() {
-        if (!busy && !parser.begun()) {
+    /** Danger: requests that begin and never end would take up all connections that clients may have. */
+    public void giveUpIfBegunBefore(long time) {
+        if (!busy && parser.begun() && lastByteAt < time) {
+            bad(new BadMessage(408, "the request did not come to its end"));
+        }
+    }
+
+    /** Closes between calls where no byte has come since then; where a call is under way, its answer does. */
+    public void closeIfIdleSince(long time) {
+        if (!busy && !parser.begun() && lastByteAt <= time) {
             deaf = true;
             channel.close();
         }
--- a/src/test/java/gorsestack/memory/CallsTest.java
+++ b/src/test/java/gorsestack/memory/CallsTest.java
@@ -291,6 +291,12 @@
         rig.drain();
         assertEquals(2, rig.shots().size(), "it may have run");
         answered(502, client);
+        rig.answersDials = true;
+        client.say(call("once", "c2"));
+        rig.pass(1_985);
+        assertEquals("", client.out);
+        rig.pass(10);
+        answered(504, client);
     }
 
     @Test
@@ -385,6 +391,13 @@
         answered(503, over);
         assertFalse(over.open, "one connection too many is closed, with its answer");
         assertTrue(clients.get(8).open, "not between calls: one may be on its way");
+        for (int i = 0; i < 15; i++) {
+            rig.client();
+        }
+        rig.pass(9_000);
+        assertTrue(clients.get(11).open);
+        rig.pass(2_000);
+        assertFalse(clients.get(11).open, "idle for 10 s, with too many open");
     }
 
     /** Danger: a machine cut off leaves its idle connections open, and each would swallow a call. */
@@ -556,6 +569,18 @@
         assertTrue(client.out.contains("\r\n\r\n2"), client.out);
     }
 
+    @Test
+    void givesUpARequestThatNeverEnds() throws IOException {
+        Rig rig = rig(1);
+        Socket client = rig.client();
+        client.say("GET /read HTTP/1.1\r\nX-Corr");
+        rig.pass(9_000);
+        assertEquals("", client.out);
+        rig.pass(3_000);
+        answered(408, client);
+        assertFalse(client.open);
+    }
+
     /** The same id twice while the first is out: each has its own answer. */
     @Test
     void tellsCallsOfOneIdApart() throws IOException {
