--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -226,7 +226,7 @@
 
     @Override
     public void errored(String apiCall) {
-        boolean late = calls.get(apiCall).shots.stream().anyMatch(s -> !s.over);
+        boolean late = calls.get(apiCall).shots.stream().anyMatch(s -> now >= s.until);
         answer(apiCall, late ? Answer.own(504, "", "no answer in time") : Answer.own(502, "", "no upstream answered"));
     }
 
