--- a/src/test/java/gorsestack/memory/CallsTest.java
+++ b/src/test/java/gorsestack/memory/CallsTest.java
@@ -497,6 +497,22 @@
         assertTrue(rig.watch().open && rig.watch().out.contains("after=44 "), "nothing is passed over");
     }
 
+    @Test
+    void readsALineOfDiscoverySplitAtEveryByte() throws IOException {
+        String line = "{\"index\":44,\"snapshot\":false,\"endpoints\":[" + up(1, "terminated") + "]}\n";
+        String chunk = Integer.toHexString(line.length()) + "\r\n" + line + "\r\n";
+        for (int cut = 1; cut < chunk.length(); cut++) {
+            Rig rig = watching(2);
+            rig.watch().say(chunk.substring(0, cut));
+            rig.watch().say(chunk.substring(cut));
+            assertTrue(rig.watch().open);
+            for (int i = 0; i < 4; i++) {
+                rig.client().say(call("read", "c" + i));
+                assertEquals("/127.0.1.2:80", rig.last().to.toString());
+            }
+        }
+    }
+
     @Test
     void answersWhatItHoldsAtTheEndAndClosesBetweenCalls() throws IOException {
         Rig rig = rig(2);
--- /dev/null
+++ b/src/test/java/gorsestack/serve/ServiceTest.java
@@ -0,0 +1,110 @@
+package gorsestack.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorsestack.memory.OwnerThread;
+import gorsestack.wire.Channel;
+import gorsestack.wire.Link;
+import gorsestack.wire.MinaNetwork;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ServiceTest {
+    @TempDir
+    private Path folder;
+
+    private Configuration read(String from, String to) throws IOException {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Files.readString(Path.of("deploy/example.json")).replace(from, to));
+        return Configuration.read(file, Map.of("ROUTER_NAME", "n7"));
+    }
+
+    @Test
+    void readsTheExampleWithTheEnvironmentFirst() throws IOException {
+        Configuration good = read("", "");
+        assertEquals("n7 /127.0.0.1:18000 /127.0.0.1:18500 41 3", good.name() + " " + good.listen() + " "
+                + good.discovery() + " " + good.known().index() + " " + good.settings().products().size());
+        assertEquals(120_000_000, good.limits().connectTimeout());
+        assertTrue(good.limits().upstreamConnections() + good.limits().clientConnections() < 1024 - 30);
+        assertEquals(3_650_000_000L, good.limits().endAfterTerm());
+    }
+
+    @Test
+    void saysOfABadConfigurationWhatIsBad() {
+        String[][] rows = {{"\"products\": [", "\"others\": [", "no products"}, {"8c1f30d27a5be964", "xyz", "seed"},
+            {"127.0.0.1:18000", "localhost:18000", "listen"}, {"127.0.0.1:18500", "127.0.0.1:99999", "discovery"},
+            {"\"clientTimeout\": 3000.0,", "", "clientTimeout"}, {"\"settings\"", "\"sittings\"", "settings"},
+            {"\"endpoints\"", "\"ends\"", "endpoints"}, {"{", "", ""}};
+        for (String[] row : rows) {
+            String said = assertThrows(IOException.class, () -> read(row[0], row[1]), row[1]).getMessage();
+            assertTrue(said.contains(row[2]), said);
+        }
+    }
+
+    /** What a link relies on, on real sockets: order, the last byte's word, and the end being told. */
+    @Test
+    void tellsALinkWhatItsSocketDoes() throws Exception {
+        BlockingQueue<Object> told = new LinkedBlockingQueue<>();
+        final class Told implements Link {
+            @Override
+            public void opened(Channel channel) {
+                told.add(channel);
+            }
+
+            @Override
+            public void received(byte[] bytes, long at) {
+                told.add(new String(bytes, StandardCharsets.US_ASCII));
+            }
+
+            @Override
+            public void sent() {
+                told.add("sent");
+            }
+
+            @Override
+            public void closed() {
+                told.add("closed");
+            }
+        }
+        MinaNetwork network = new MinaNetwork(read("", "").limits(), new OwnerThread());
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        InetSocketAddress address;
+        try (ServerSocket server = new ServerSocket(0, 5, loopback)) {
+            address = new InetSocketAddress(loopback, server.getLocalPort());
+            network.connect(address, new Told());
+            try (Socket accepted = server.accept()) {
+                Channel channel = (Channel) told.poll(10, TimeUnit.SECONDS);
+                channel.write(new byte[] {'a', 'b'});
+                assertEquals("ab", new String(accepted.getInputStream().readNBytes(2), StandardCharsets.US_ASCII));
+                assertEquals("sent", told.poll(10, TimeUnit.SECONDS));
+                accepted.getOutputStream().write('c');
+                assertEquals("c", told.poll(10, TimeUnit.SECONDS));
+            }
+            assertEquals("closed", told.poll(10, TimeUnit.SECONDS));
+        }
+        network.connect(address, new Told());
+        assertEquals("closed", told.poll(10, TimeUnit.SECONDS), "refused");
+        network.listen(address, Told::new);
+        try (Socket client = new Socket(loopback, address.getPort())) {
+            Channel channel = (Channel) told.poll(10, TimeUnit.SECONDS);
+            network.stopAccepting();
+            channel.write(new byte[100_000]);
+            channel.closeWhenSent();
+            assertEquals(100_000, client.getInputStream().readAllBytes().length, "an answer goes out whole");
+        }
+    }
+}
