--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -136,7 +136,9 @@
         long left = request.left() < 0 ? products.get(request.product()).clientTimeout() : request.left();
         long end = arrivedAt + left;
         c.net = owner.at(end - limits.net(), () -> unanswered(c));
-        choice.apiCall(tick(), c.id, request.product(), null, Math.max(0, end - now));
+        // Rule 1: on a core that others share, what is answered last may wait for its way out; seen at a start.
+        long wayOut = Math.min(limits.wayOut(), left / 10);
+        choice.apiCall(tick(), c.id, request.product(), null, Math.max(0, end - wayOut - now));
     }
 
     /** Rule 1: whatever fault keeps the module from it, a call that was taken has an answer in time. */
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -21,7 +21,8 @@
         long endAfterTerm,
         long sweep,
         long warmUp,
-        long net) {
+        long net,
+        long wayOut) {
 
     private static final long MS = 1_000_000;
 
@@ -62,6 +63,9 @@
                 // Each of the two parts of the warm-up takes a third of that on a core of its own.
                 1_000 * MS,
                 // The module answers two of its steps before the end; this only catches what it left.
-                2 * MS);
+                2 * MS,
+                // Half of what 99 in 100 answers took through a node at the worst start seen, as the rule's slack of
+                // 50 ms and the module's two steps cover the rest. Nobody counts on an answer that late.
+                25 * MS);
     }
 }
--- a/src/main/java/gorsestack/serve/WarmUp.java
+++ b/src/main/java/gorsestack/serve/WarmUp.java
@@ -27,7 +27,7 @@
     /** Some hundred invocations get a method compiled. */
     private static final int CALLS = 600;
     private static final int CONNECTIONS = 25;
-    private static final int CHECKS = 8;
+    private static final int CHECKS = 12;
     private static final byte[] OK = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Type: text/plain\r\n\r\nwarm\n"
             .getBytes(StandardCharsets.US_ASCII);
 
