Tidy after reading the change once more: an unread field out, one check named once, imports

Calls kept the settings after its constructor had read them; Discovery asked in two places, one with a null check that cannot matter, whether its watch was granted.

--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -78,7 +78,6 @@
 
     private final Owner owner;
     private final Limits limits;
-    private final Settings settings;
     private final Pool pool;
     private final Random random;
     private final Choice choice;
@@ -100,7 +99,6 @@
             InetSocketAddress discovery, long index) {
         this.owner = owner;
         this.limits = limits;
-        this.settings = settings;
         this.pool = new Pool(network, limits, owner);
         this.random = new Random(seed);
         this.discovery = new Discovery(network, owner, limits, discovery, index, this);
--- a/src/main/java/gorsestack/serve/Configuration.java
+++ b/src/main/java/gorsestack/serve/Configuration.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /** What the operators tell a balancer at its start. */
@@ -36,7 +37,7 @@
     }
 
     private static String told(JsonNode all, Map<String, String> environment, String key) {
-        return environment.getOrDefault("ROUTER_" + key.toUpperCase(java.util.Locale.ROOT), all.path(key).asText(""));
+        return environment.getOrDefault("ROUTER_" + key.toUpperCase(Locale.ROOT), all.path(key).asText(""));
     }
 
     private static InetSocketAddress address(String text, String key) throws IOException {
--- a/src/main/java/gorsestack/serve/WarmUp.java
+++ b/src/main/java/gorsestack/serve/WarmUp.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,7 +38,7 @@
     static void calls(Limits limits, Settings settings, long nanos) {
         Loop loop = new Loop();
         Calls calls = new Calls(loop, limits, settings, 1, loop, new InetSocketAddress(0), 0);
-        List<Upstreams.Entry> entries = new java.util.ArrayList<>();
+        List<Upstreams.Entry> entries = new ArrayList<>();
         Map<String, InetSocketAddress> addresses = new HashMap<>();
         for (int i = 0; i < 12; i++) {
             String zone = settings.zones().isEmpty() ? "" : settings.zones().get(i % settings.zones().size());
--- a/src/main/java/gorsestack/wire/Discovery.java
+++ b/src/main/java/gorsestack/wire/Discovery.java
@@ -88,7 +88,7 @@
             }
             try {
                 parser.feed(bytes, 0, bytes.length);
-                if (parser.head() != null && !parser.head().start[1].equals("200")) {
+                if (parser.head() != null && !granted()) {
                     lost("answered " + parser.head().start[1]);
                 } else if (parser.done()) {
                     lost("ended");
@@ -98,8 +98,12 @@
             }
         }
 
+        private boolean granted() {
+            return parser.head().start[1].equals("200");
+        }
+
         private void bytes(byte[] from, int at, int length) throws BadMessage {
-            if (parser.head() == null || !parser.head().start[1].equals("200")) {
+            if (!granted()) {
                 return;
             }
             for (int i = at; i < at + length; i++) {
--- a/src/main/java/gorsestack/wire/HttpParser.java
+++ b/src/main/java/gorsestack/wire/HttpParser.java
@@ -3,6 +3,7 @@
 import gorsestack.serve.Limits;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /** Reads one request or one answer, fed in whatever pieces the connection brings. */
 final class HttpParser {
@@ -107,7 +108,7 @@
                 if (length == 1 || all[lineStart] != '\r') {
                     throw new BadMessage(400, "a line ends without a carriage return");
                 }
-                head(java.util.Arrays.copyOf(all, lineStart));
+                head(Arrays.copyOf(all, lineStart));
             } else {
                 lineStart = line.size();
             }
