Bound bad clients, follow SIGHUP, take spoilt answers for no sickness, forget what is gone

Checked: the log lines of both first-tier nodes show the turning away, no shot was unsent, later tiers logged nothing; so it was client connections, not upstreams. At fault: ClientConnection closed none between calls short of 10 s, Calls.call turned away at the bound, the request's time began anew with every byte, and 60 MB were read to be thrown away. Now: room is made by closing what lingers, then what was never heard of, then what has been idle for 2 s; 408 two seconds after connecting; the acceptor waits for room; no more than 128 KiB are queued for the owner, no more than 64 KiB read of what is turned away. The id of an open call, a method or key that does not fit the class, doubled headers, control bytes and a body longer than said never reach an upstream. SPOILT is an outcome of its own (may have run, no sickness); an answer ahead of its request or one that stops in the middle is spoilt; a connection is used again 10 ms after its answer. Ids that are gone leave pool and module. SIGHUP is handled.

--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -9,7 +9,6 @@
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -20,8 +19,7 @@
  * methods, with the clock in nanoseconds, never going back; it acts through Outgoing before the method
  * returns. Settings, Upstreams and Outcome say what goes in, Outgoing what comes out; all four stand in this
  * package and know no protocol. Each input touches some API calls; for each of those the list of rules below
- * is gone through in order, again and again, until none fires. docs/design.md tells what is kept of the
- * design and when each departure acts.
+ * is gone through in order, again and again, until none fires; see docs/design.md.
  */
 public final class Choice {
 
@@ -94,11 +92,10 @@
 
     private long now;
 
-    private final Figures up = new Figures();
+    final Figures up = new Figures();
 
     // The own zone, then the others in the order of the settings; last, those of no known zone.
     private final Group[] groups;
-    private final Map<List<Object>, Integer> alike = new HashMap<>();
     private final ArrayDeque<Integer> sick = new ArrayDeque<>();
 
     // Rule 1: one final answer before the client timeout, and nothing after it. The order matters.
@@ -144,18 +141,20 @@
             out.wake(0, now + (long) ((0.2 + 0.4 * chance.next()) * settings.rules().askWithin()));
             return;
         }
-        boolean[] named = new boolean[up.index.size() + news.entries().size()];
+        boolean[] named = new boolean[up.size + news.entries().size()];
         for (Entry e : news.entries()) {
             named[learn(e)] = true;
         }
-        for (int u = 0; u < up.index.size() && news.form() != Form.CHANGES; u++) {
-            if (!named[u]) {
-                up.entry[u] = up.entry[u].gone();
+        for (int u = 0; u < up.size; u++) {
+            up.entry[u] = named[u] || news.form() == Form.CHANGES ? up.entry[u] : up.entry[u].gone();
+            if (up.over(u)) {
+                mark(u, false);
+                up.release(u);
             }
         }
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
-            g.members = IntStream.range(0, up.index.size())
+            g.members = IntStream.range(0, up.size)
                     .filter(u -> groups[up.group[u]] == g && up.entry[u].state() == State.READY).toArray();
             int n = g.members.length;
             g.meanWeight = 0;
@@ -182,7 +181,7 @@
             int own = Math.max(0, settings.zones().indexOf(settings.zone()));
             up.group[u] = zone < 0 ? zones : (zone - own + zones) % zones;
             up.turn[u] = chance.next();
-            up.alike[u] = alike.computeIfAbsent(List.of(up.group[u], e.kind(), e.weight()), k -> u);
+            up.alike[u] = up.kind(up.group[u], e.kind(), e.weight());
         }
         Entry before = up.entry[u];
         up.entry[u] = e;
@@ -256,7 +255,7 @@
 
     private void judge(int u, Outcome outcome, boolean late) {
         Group g = groups[up.group[u]];
-        if (outcome == Outcome.CANCELLED || outcome == Outcome.NOT_SENT) {
+        if (outcome == Outcome.CANCELLED || outcome == Outcome.NOT_SENT || outcome == Outcome.SPOILT) {
             return;
         }
         if (outcome != Outcome.TIMED_OUT) {
@@ -280,10 +279,9 @@
         if (up.sick[u] != is) {
             up.sick[u] = is;
             groups[up.group[u]].ill += up.entry[u].state() != State.READY ? 0 : is ? 1 : -1;
+            sick.remove(u);
             if (is) {
                 sick.add(u);
-            } else {
-                sick.remove(u);
             }
         }
     }
@@ -342,6 +340,7 @@
         if (c.ended && c.out == 0) {
             calls.remove(c.id);
             byToken.remove(c.token);
+            Arrays.stream(c.to, 0, c.shots).forEach(u -> up.remembered[u]--);
         }
         long due = Math.min(c.lookAt, moreMayCome(c) ? Math.min(c.next, c.end) : c.end);
         if (!c.ended && due < c.wakeAt) {
@@ -396,6 +395,7 @@
         c.out++;
         c.lookAt = now + c.product.slo() / 2;
         up.inFlight[u]++;
+        up.remembered[u]++;
         hold(groups[up.group[u]], c.product, 1);
         up.coldTurn[u] = 0;
         out.shot(c.id, up.entry[u].id(), c.end - now);
--- a/src/main/java/gorsestack/decision/Figures.java
+++ b/src/main/java/gorsestack/decision/Figures.java
@@ -1,17 +1,28 @@
 package gorsestack.decision;
 
+import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
-/** What one balancer knows of each upstream: parallel arrays under an index that an id keeps for good. */
+/**
+ * What one balancer knows of each upstream: parallel arrays under an index that an id keeps until it is gone and
+ * no call remembers a shot to it. Danger: ids are ever new, and what is known of the old ones would fill the memory.
+ */
 final class Figures {
     final Map<String, Integer> index = new HashMap<>();
+    private final Map<List<Object>, Integer> kinds = new HashMap<>();
+    private final ArrayDeque<Integer> free = new ArrayDeque<>();
+    /** All indexes are below this. */
+    int size;
     Upstreams.Entry[] entry = new Upstreams.Entry[16];
     int[] group = new int[16];
-    /** The first upstream known of the same group, kind and size; it keeps their usual answer time. */
+    /** What stands for the same group, kind and size; under it their usual answer time. */
     int[] alike = new int[16];
     double[] usual = new double[16];
+    /** Calls that remember a shot to it: where the first went decides where a copy may go. */
+    int[] remembered = new int[16];
     double[] turn = new double[16];
     int[] inFlight = new int[16];
     int[] straightFailures = new int[16];
@@ -22,20 +33,20 @@
     double[] coldTurn = new double[16];
     long[] coldAt = new long[16];
 
-    /** The id's index, the next free one if it is new. */
+    /** The id's index, a free one if it is new. */
     int of(String id) {
         Integer known = index.get(id);
         if (known != null) {
             return known;
         }
-        int u = index.size();
+        int u = free.isEmpty() ? size++ : free.remove();
         index.put(id, u);
         if (u == entry.length) {
             int n = u * 2;
             entry = Arrays.copyOf(entry, n);
             group = Arrays.copyOf(group, n);
             alike = Arrays.copyOf(alike, n);
-            usual = Arrays.copyOf(usual, n);
+            remembered = Arrays.copyOf(remembered, n);
             turn = Arrays.copyOf(turn, n);
             inFlight = Arrays.copyOf(inFlight, n);
             straightFailures = Arrays.copyOf(straightFailures, n);
@@ -47,4 +58,24 @@
         }
         return u;
     }
+
+    /** The number of a kind. */
+    int kind(Object... kind) {
+        int k = kinds.computeIfAbsent(List.of(kind), unknown -> kinds.size());
+        usual = k < usual.length ? usual : Arrays.copyOf(usual, 2 * k);
+        return k;
+    }
+
+    /** Whether nothing needs this index any more. */
+    boolean over(int u) {
+        return entry[u].state() == Upstreams.State.GONE && remembered[u] == 0
+                && index.getOrDefault(entry[u].id(), -1) == u;
+    }
+
+    /** Lets another id have the index; nothing known of the old one passes on. */
+    void release(int u) {
+        index.remove(entry[u].id());
+        heardAt[u] = 0;
+        free.add(u);
+    }
 }
--- a/src/main/java/gorsestack/decision/Outcome.java
+++ b/src/main/java/gorsestack/decision/Outcome.java
@@ -12,6 +12,8 @@
     UNREACHABLE(true),
     /** The connection dropped while the shot was out. */
     BROKEN(false),
+    /** An answer that could not be read: it has run, and the upstream need not be at fault. */
+    SPOILT(false),
     CANCELLED(false),
     /** Never left this balancer. */
     NOT_SENT(true),
--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -7,6 +7,7 @@
 import gorsestack.decision.Upstreams;
 import gorsestack.serve.Limits;
 import gorsestack.wire.Answer;
+import gorsestack.wire.BadMessage;
 import gorsestack.wire.Catalog;
 import gorsestack.wire.ClientConnection;
 import gorsestack.wire.Discovery;
@@ -91,6 +92,7 @@
     private long now;
     private int notSent;
     private int turnedAway;
+    private boolean roomAsked;
     private boolean ready;
     private boolean ending;
     private Runnable whenQuiet;
@@ -116,22 +118,29 @@
 
     @Override
     public void call(ClientConnection from, Request request, long arrivedAt) {
-        if (clients.size() > limits.clientConnections()) {
+        if (clients.size() >= limits.clientConnections() + limits.spareConnections()) {
             // Danger: out of descriptors; a call that was accepted is answered, and its connection given back.
             turnedAway++;
             from.answer(Answer.own(503, "", "too many connections"));
             return;
         }
+        Call before = calls.get(request.id());
+        if (before != null && !before.ended) {
+            // Danger: two calls of one id; an upstream takes the second for a copy of the first.
+            from.bad(new BadMessage(409, "this X-Correlation-Id is that of an open call"));
+            return;
+        }
         Call c = new Call();
         c.id = request.id();
         for (int n = 2; calls.containsKey(c.id); n++) {
-            c.id = request.id() + "/" + n; // sent twice while the first is out; the module knows each by its id
+            c.id = request.id() + "/" + n; // a shot of an answered one is not over yet; the module knows each by its id
         }
         c.client = from;
         c.request = request;
         calls.put(c.id, c);
         byClient.put(from, c);
-        long left = request.left() < 0 ? products.get(request.product()).clientTimeout() : request.left();
+        long longest = products.get(request.product()).clientTimeout();
+        long left = request.left() < 0 ? longest : Math.min(longest, request.left());
         long end = arrivedAt + left;
         c.net = owner.at(end - limits.net(), () -> unanswered(c));
         // Rule 1: on a core that others share, what is answered last may wait for its way out; seen at a start.
@@ -165,7 +174,9 @@
         }
         catalog.addresses().forEach(pool::address);
         for (Upstreams.Entry e : catalog.news().entries()) {
-            if (e.state() != Upstreams.State.READY) {
+            if (e.state() == Upstreams.State.GONE) {
+                pool.forget(e.id());
+            } else if (e.state() != Upstreams.State.READY) {
                 pool.drop(e.id());
             }
         }
@@ -250,6 +261,11 @@
         discovery.watch();
     }
 
+    /** Discovery has another address. */
+    public void moveTo(InetSocketAddress to) {
+        discovery.moveTo(to);
+    }
+
     private void forgetIfOver(Call c) {
         if (c.ended && c.out == 0) {
             calls.remove(c.id, c);
@@ -261,6 +277,32 @@
     @Override
     public void opened(ClientConnection from) {
         clients.add(from);
+        if (clients.size() > limits.clientConnections()) {
+            // Behind what has been read by now: a call that waits its turn is not closed on.
+            owner.execute(this::makeRoom);
+        }
+    }
+
+    /** Danger: idle and silent clients by hundreds keep out those that have something to ask. */
+    private void makeRoom() {
+        int over = clients.size() - limits.clientConnections();
+        for (int spared = 0; spared < 3 && over > 0; spared++) {
+            over -= close(spared, over);
+        }
+        if (over > 0 && !roomAsked) {
+            roomAsked = true;
+            owner.at(owner.now() + limits.fresh() / 2, () -> {
+                roomAsked = false;
+                makeRoom();
+            });
+        }
+    }
+
+    /** Closes up to so many of one kind, the oldest first. */
+    private int close(int spared, int most) {
+        List<ClientConnection> chosen = clients.stream().filter(c -> c.spared() == spared).limit(most).toList();
+        chosen.forEach(ClientConnection::drop);
+        return chosen.size();
     }
 
     @Override
@@ -284,13 +326,9 @@
     }
 
     @Override
-    public boolean knows(String product) {
-        return products.containsKey(product);
-    }
-
-    @Override
-    public boolean needsKey(String product) {
-        return products.get(product).repeat() == Settings.Repeat.DEDUPLICATED;
+    public Settings.Repeat repeat(String product) {
+        Settings.Product known = products.get(product);
+        return known == null ? null : known.repeat();
     }
 
     @Override
@@ -312,7 +350,7 @@
     /** Closes the connections between calls, and says when the last call has been answered. */
     public void closeIdle(Runnable quiet) {
         // One task each, behind what has been read by then: a call that waits its turn is not closed on.
-        clients.forEach(c -> owner.execute(() -> c.closeIfIdleSince(owner.now())));
+        List.copyOf(clients).forEach(c -> owner.execute(c::closeIfIdle));
         whenQuiet = quiet;
         quiet();
     }
@@ -326,13 +364,11 @@
 
     private void sweep() {
         pool.retire();
-        long old = owner.now() - limits.wholeRequest();
-        for (ClientConnection c : clients) {
-            c.giveUpIfBegunBefore(old);
-            if (clients.size() > limits.clientConnections()) {
-                owner.execute(() -> c.closeIfIdleSince(old));
-            }
-        }
+        // Behind what has been read by now.
+        owner.execute(() -> {
+            List.copyOf(clients).forEach(ClientConnection::giveUpIfOverdue);
+            close(2, Math.max(0, clients.size() - limits.clientConnections() / 2));
+        });
         if (notSent + turnedAway > 0) {
             LOG.log(System.Logger.Level.WARNING, "out of connections: {0} shots not sent, {1} calls turned away",
                     notSent, turnedAway);
--- a/src/main/java/gorsestack/memory/Pool.java
+++ b/src/main/java/gorsestack/memory/Pool.java
@@ -9,6 +9,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -16,6 +17,8 @@
 
 /** Connections to upstreams, idle ones by upstream, and where each upstream listens. */
 final class Pool implements UpstreamConnection.Keeper {
+    private static final ArrayDeque<UpstreamConnection> NONE = new ArrayDeque<>(0);
+
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
     private final Map<String, Long> heardAt = new HashMap<>();
@@ -40,26 +43,34 @@
 
     /** A whole list has come: what it does not name is gone for good. */
     void keepOnly(Set<String> upstreams) {
-        List.copyOf(addresses.keySet()).stream().filter(u -> !upstreams.contains(u)).forEach(u -> {
-            drop(u);
-            addresses.remove(u);
-            idle.remove(u);
-            heardAt.remove(u);
-        });
+        List.copyOf(addresses.keySet()).stream().filter(u -> !upstreams.contains(u)).forEach(this::forget);
+    }
+
+    /** Danger: ids are ever new; of one that is gone nothing may stay, for memory or for another at its address. */
+    void forget(String upstream) {
+        drop(upstream);
+        addresses.remove(upstream);
+        idle.remove(upstream);
+        heardAt.remove(upstream);
     }
 
     /** A connection for one shot, the idle one used last or a new one; null if there can be none. */
     UpstreamConnection take(String upstream) {
-        ArrayDeque<UpstreamConnection> kept = idle.get(upstream);
-        UpstreamConnection connection = kept == null ? null : kept.pollLast();
-        if (connection != null) {
-            return connection;
+        // Danger: a second copy right behind an answer would be taken for the next shot's; it gets time to come.
+        long settled = owner.now() - limits.settle();
+        Iterator<UpstreamConnection> kept = idle.getOrDefault(upstream, NONE).descendingIterator();
+        while (kept.hasNext()) {
+            UpstreamConnection connection = kept.next();
+            if (connection.idleSince <= settled) {
+                kept.remove();
+                return connection;
+            }
         }
         InetSocketAddress address = addresses.get(upstream);
         if (address == null || all.size() >= limits.upstreamConnections() && !dropOldest()) {
             return null;
         }
-        UpstreamConnection opened = new UpstreamConnection(limits, this, upstream, address);
+        UpstreamConnection opened = new UpstreamConnection(limits, owner, this, upstream, address);
         opened.connect(network);
         all.add(opened);
         // Danger: a machine that is gone answers no connect; the shot on it has to end, as one that never ran.
@@ -88,7 +99,9 @@
 
     @Override
     public void heard(String upstream) {
-        heardAt.put(upstream, owner.now());
+        if (addresses.containsKey(upstream)) {
+            heardAt.put(upstream, owner.now());
+        }
     }
 
     boolean heardSince(String upstream, long time) {
--- a/src/main/java/gorsestack/serve/Configuration.java
+++ b/src/main/java/gorsestack/serve/Configuration.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -36,6 +37,19 @@
                 settings);
     }
 
+    /** The file once more, after SIGHUP: now its discovery goes before the environment's, which is of the start. */
+    static Configuration reread(Path file, Map<String, String> environment) throws IOException {
+        Map<String, String> others = new HashMap<>(environment);
+        others.remove("ROUTER_DISCOVERY");
+        return read(file, others);
+    }
+
+    /** Whether only what can change under load differs. The seed and the list known are of a start, and may. */
+    boolean sameButDiscovery(Configuration other) {
+        return name.equals(other.name) && listen.equals(other.listen) && limits.equals(other.limits)
+                && settings.equals(other.settings);
+    }
+
     private static String told(JsonNode all, Map<String, String> environment, String key) {
         return environment.getOrDefault("ROUTER_" + key.toUpperCase(Locale.ROOT), all.path(key).asText(""));
     }
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -7,16 +7,23 @@
         int clientConnections,
         int upstreamConnections,
         int backlog,
+        int spareConnections,
         int headBytes,
         int bodyBytes,
+        int queuedBytes,
         int catalogLineBytes,
         long connectTimeout,
         long upstreamIdle,
         long silence,
         long watchSilence,
         long watchSpread,
+        long moveSilence,
         long linger,
         long wholeRequest,
+        long idleClient,
+        long fresh,
+        long settle,
+        long restOfAnswer,
         long acceptAfterTerm,
         long endAfterTerm,
         long sweep,
@@ -29,7 +36,7 @@
     /** From the operators' limits and the settings. */
     public static Limits of(JsonNode limits, JsonNode settings) {
         // The JVM holds about 30 descriptors of its own: jar, modules, selectors, log.
-        int sockets = Math.max(64, limits.path("sockets").asInt(1024)) - 48;
+        int sockets = Math.max(96, limits.path("sockets").asInt(1024)) - 48;
         long connect = (long) (settings.path("limits").path("connectTimeout").asDouble(250) * MS);
         long idle = (long) (settings.path("limits").path("connIdle").asDouble(15_000) * MS);
         double longest = 0;
@@ -37,12 +44,17 @@
             longest = Math.max(longest, product.path("clientTimeout").asDouble(0));
         }
         return new Limits(
-                // Clients get the larger part: what cannot be accepted is lost, a shot not sent is only told.
-                sockets * 6 / 10,
-                sockets * 4 / 10,
+                // Callers may hold a third of all for their calls, each call a shot: the same for both, and in each
+                // half room for what is idle, and for clients that mean no good.
+                sockets / 2 - 8,
+                sockets / 2,
                 1024,
+                // Accepted over the bound, while older ones are closed for them.
+                8,
                 16 << 10,
                 64 << 10,
+                // What one connection may have read ahead of the owner; 60 MB at full speed are more than the heap.
+                128 << 10,
                 4 << 20,
                 connect,
                 // Danger: an idle connection at the upstream's limit ends as a reset that may have run.
@@ -52,9 +64,20 @@
                 // Two and a half of discovery's periods of 2 s; what it has to tell counts as told after 6 s.
                 5_000 * MS,
                 500 * MS,
-                1_000 * MS,
-                // Longer than any client waits for an answer.
-                10_000 * MS,
+                // 4 s after SIGHUP all counts as told: long enough for an answer, short enough to ask again.
+                1_200 * MS,
+                // A client reads its error well within that; a flood of bad ones holds so many connections.
+                300 * MS,
+                // An error is owed 3 s after connecting; looked for every half a second.
+                2_000 * MS,
+                // By the protocol an idle connection may be closed from then on.
+                2_000 * MS,
+                // Good clients send as soon as they connect; on a crowded core it is read some tens of ms later.
+                50 * MS,
+                // What an upstream sends behind its answer comes with it; 10 ms are many turns of the socket thread.
+                10 * MS,
+                // Twice the longest pause seen in a day; an answer is written at once, a body is 64 KiB at most.
+                250 * MS,
                 // New connections go on coming for 0.2 to 0.4 s after SIGTERM.
                 600 * MS,
                 // SIGKILL comes no sooner than the longest client timeout and 0.7 s more.
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -10,26 +10,28 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import sun.misc.Signal;
 
 /** One real balancer: starts it, and ends it at SIGTERM. */
 public final class Service {
     private static final System.Logger LOG = System.getLogger("gorsestack.service");
 
+    private final Path file;
     private final Configuration configuration;
     private final Owner owner = new OwnerThread();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Network network;
     private Calls calls;
 
-    private Service(Configuration configuration) {
-        this.configuration = configuration;
+    private Service(Path file) throws IOException {
+        this.file = file;
+        configuration = Configuration.read(file, System.getenv());
         network = new MinaNetwork(configuration.limits(), owner);
     }
 
     /** Starts a balancer; it runs on when this returns. */
     public static void start(Path file) throws IOException {
-        Service service = new Service(Configuration.read(file, System.getenv()));
-        service.start();
+        new Service(file).start();
     }
 
     private void start() throws IOException {
@@ -37,6 +39,8 @@
         calls = new Calls(owner, limits, configuration.settings(), configuration.seed(), network,
                 configuration.discovery(), configuration.known().index());
         owner.execute(() -> calls.news(configuration.known()));
+        // Danger: the JVM's own answer to SIGHUP is to end.
+        Signal.handle(new Signal("HUP"), signal -> reload());
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
         network.listen(configuration.listen(), () -> new ClientConnection(limits, owner, calls));
         WarmUp.calls(limits, configuration.settings(), limits.warmUp());
@@ -45,6 +49,19 @@
         LOG.log(System.Logger.Level.INFO, "{0} is ready on {1}", configuration.name(), configuration.listen());
     }
 
+    /** SIGHUP: follows the discovery that the file names by now; of a file that makes no sense nothing is taken. */
+    private void reload() {
+        try {
+            Configuration fresh = Configuration.reread(file, System.getenv());
+            owner.execute(() -> calls.moveTo(fresh.discovery()));
+            LOG.log(System.Logger.Level.INFO, "configuration read again; discovery is {0}{1}", fresh.discovery(),
+                    configuration.sameButDiscovery(fresh) ? "" : "; the other changes take effect at the next start");
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.ERROR, "configuration not taken, the old one goes on: {0}",
+                    e.getMessage().lines().findFirst().orElse(""));
+        }
+    }
+
     /** SIGTERM: goes on accepting for a while, answers what it holds, closes between calls, and ends in time. */
     private void end() {
         Limits limits = configuration.limits();
--- a/src/main/java/gorsestack/serve/WarmUp.java
+++ b/src/main/java/gorsestack/serve/WarmUp.java
@@ -52,9 +52,11 @@
             ClientConnection client = new ClientConnection(limits, loop, calls);
             Loop.Pipe pipe = loop.new Pipe(client, false);
             client.opened(pipe);
-            byte[] request = ("POST /" + product.name() + "/x HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: " + i
-                    + "\r\nX-Time-Left: 1500m\r\nIdempotency-Key: " + i + "\r\nContent-Length: 64\r\n\r\n"
-                    + "x".repeat(64)).getBytes(StandardCharsets.US_ASCII);
+            boolean get = product.repeat() == Settings.Repeat.IDEMPOTENT;
+            String key = product.repeat() == Settings.Repeat.DEDUPLICATED ? "Idempotency-Key: " + i + "\r\n" : "";
+            byte[] request = ((get ? "GET /" : "POST /") + product.name() + "/x HTTP/1.1\r\nHost: service.internal\r\n"
+                    + "X-Correlation-Id: " + i + "\r\nX-Time-Left: 1500m\r\n" + key
+                    + (get ? "\r\n" : "Content-Length: 64\r\n\r\n" + "x".repeat(64))).getBytes(StandardCharsets.US_ASCII);
             client.received(request, loop.now());
             loop.drain();
             pipe.close();
--- a/src/main/java/gorsestack/wire/Answer.java
+++ b/src/main/java/gorsestack/wire/Answer.java
@@ -37,6 +37,7 @@
             case 400 -> "Bad Request";
             case 404 -> "Not Found";
             case 405 -> "Method Not Allowed";
+            case 409 -> "Conflict";
             case 408 -> "Request Timeout";
             case 413 -> "Content Too Large";
             case 429 -> "Too Many Requests";
@@ -44,6 +45,7 @@
             case 502 -> "Bad Gateway";
             case 503 -> "Service Unavailable";
             case 504 -> "Gateway Timeout";
+            case 505 -> "HTTP Version Not Supported";
             default -> "Error";
         };
     }
--- a/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/src/main/java/gorsestack/wire/ClientConnection.java
@@ -1,5 +1,6 @@
 package gorsestack.wire;
 
+import gorsestack.decision.Settings;
 import gorsestack.serve.Limits;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -23,10 +24,8 @@
         /** Whether connections are to be closed after the next answer. */
         boolean closing();
 
-        /** Whether a repeat of this product is known by its key. */
-        boolean needsKey(String product);
-
-        boolean knows(String product);
+        /** How this product may be repeated; null for one that is not known. */
+        Settings.Repeat repeat(String product);
     }
 
     private static final System.Logger LOG = System.getLogger("gorsestack.client");
@@ -38,7 +37,12 @@
     private final ByteArrayOutputStream ahead = new ByteArrayOutputStream(0);
     private HttpParser parser;
     private Channel channel;
+    private long openedAt;
+    private long begunAt;
     private long lastByteAt;
+    private long idleSince;
+    private int thrownAway;
+    private boolean served;
     private boolean busy;
     private boolean last;
     private boolean deaf;
@@ -56,18 +60,35 @@
     @Override
     public void opened(Channel opened) {
         channel = opened;
-        lastByteAt = owner.now();
+        openedAt = owner.now();
+        begunAt = openedAt;
+        idleSince = openedAt;
         intake.opened(this);
     }
 
     @Override
     public void received(byte[] bytes, long at) {
-        if (deaf || closed) {
+        if (closed) {
+            return;
+        }
+        if (deaf) {
+            // Danger: what a bad client still sends, 60 MB at full speed, costs as much as a good one's call.
+            thrownAway += bytes.length;
+            if (thrownAway > limits.bodyBytes() && !held) {
+                held = true;
+                channel.hold(true);
+            }
             return;
         }
         lastByteAt = at;
         if (busy) {
+            boolean begins = ahead.size() < 5;
             ahead.writeBytes(bytes);
+            if (begins && !Request.canBegin(ahead.toByteArray(), 0)) {
+                intake.gone(this);
+                bad(new BadMessage(400, "more than the length said"));
+                return;
+            }
             if (ahead.size() > limits.bodyBytes() && !held) {
                 held = true;
                 channel.hold(true);
@@ -79,8 +100,15 @@
 
     private void read(byte[] bytes) {
         try {
+            if (served && !parser.begun()) {
+                begunAt = lastByteAt;
+            }
             int used = parser.feed(bytes, 0, bytes.length);
             if (parser.done()) {
+                // Danger: a length too short; what it cuts off is no request, and the call not the one meant.
+                if (!Request.canBegin(bytes, used)) {
+                    throw new BadMessage(400, "more than the length said");
+                }
                 ahead.write(bytes, used, bytes.length - used);
                 whole(parser.head(), parser.body());
             } else if (parser.head() != null && !told && parser.head().lists("expect", "100-continue")) {
@@ -93,7 +121,7 @@
     }
 
     /** Danger: closing at once on what a client still sends resets the connection under its answer. */
-    private void bad(BadMessage e) {
+    public void bad(BadMessage e) {
         LOG.log(System.Logger.Level.DEBUG, "answered {0}: {1}", e.status, e.getMessage());
         deaf = true;
         busy = true;
@@ -103,6 +131,7 @@
 
     private void whole(Head head, byte[] body) {
         busy = true;
+        served = true;
         last = head.start[2].equals("HTTP/1.0") || head.lists("connection", "close");
         if (head.start[1].equals("/_health")) {
             answer(intake.ready() ? Answer.own(200, "", "ready") : Answer.own(503, "", "not ready"));
@@ -110,16 +139,17 @@
         }
         try {
             Request request = Request.of(head, body);
-            if (!intake.knows(request.product())) {
+            Settings.Repeat repeat = intake.repeat(request.product());
+            BadMessage misfit = repeat == null ? null : request.misfit(repeat);
+            if (repeat == null) {
                 answer(Answer.own(404, "", "no such class"));
-            } else if (intake.needsKey(request.product()) && !request.hasKey()) {
-                answer(Answer.own(400, "", "this class needs an Idempotency-Key"));
+            } else if (misfit != null) {
+                bad(misfit);
             } else {
                 intake.call(this, request, lastByteAt);
             }
         } catch (BadMessage e) {
-            LOG.log(System.Logger.Level.DEBUG, "answered {0}: {1}", e.status, e.getMessage());
-            answer(Answer.own(e.status, "", e.getMessage()));
+            bad(e);
         }
     }
 
@@ -136,6 +166,7 @@
             return;
         }
         told = false;
+        idleSince = owner.now();
         parser = HttpParser.request(limits);
         if (held) {
             held = false;
@@ -158,18 +189,44 @@
         }
     }
 
-    /** Danger: requests that begin and never end would take up all connections that clients may have. */
-    public void giveUpIfBegunBefore(long time) {
-        if (!busy && parser.begun() && lastByteAt < time) {
+    /** Danger: what begins and never ends, or never begins, would take up all connections that clients may have. */
+    public void giveUpIfOverdue() {
+        long now = owner.now();
+        if (deaf || busy) {
+            return;
+        }
+        if (parser.begun() && now - begunAt >= limits.wholeRequest()) {
             bad(new BadMessage(408, "the request did not come to its end"));
+        } else if (!served && now - openedAt >= limits.idleClient()) {
+            drop();
         }
     }
 
-    /** Closes between calls where no byte has come since then; where a call is under way, its answer does. */
-    public void closeIfIdleSince(long time) {
-        if (!busy && !parser.begun() && lastByteAt <= time) {
-            deaf = true;
-            channel.close();
+    /** What is closed first when room is short: answered and lingering, then never heard of, then idle; else 9. */
+    public int spared() {
+        long now = owner.now();
+        if (deaf) {
+            return 0;
+        }
+        if (busy || now - openedAt < limits.fresh()) {
+            return 9;
+        }
+        if (!served) {
+            return 1;
+        }
+        return !parser.begun() && now - idleSince >= limits.idleClient() ? 2 : 9;
+    }
+
+    public void drop() {
+        deaf = true;
+        channel.close();
+        intake.closed(this);
+    }
+
+    /** Closes between calls, unless one has begun. */
+    public void closeIfIdle() {
+        if (!busy && !parser.begun()) {
+            drop();
         }
     }
 
--- a/src/main/java/gorsestack/wire/Discovery.java
+++ b/src/main/java/gorsestack/wire/Discovery.java
@@ -23,9 +23,11 @@
     private final Network network;
     private final Owner owner;
     private final Limits limits;
-    private final InetSocketAddress address;
     private final Listener listener;
+    private InetSocketAddress address;
+    /** The watch that is followed, and beside it one on an address newly told, until that has told its list. */
     private Watch watch;
+    private Watch coming;
     private long index;
 
     public Discovery(Network network, Owner owner, Limits limits, InetSocketAddress address, long index, Listener listener) {
@@ -39,29 +41,68 @@
 
     /** Starts a watch unless one is under way. */
     public void watch() {
-        if (watch == null) {
-            watch = new Watch();
+        if (watch == null && coming == null) {
+            watch = new Watch(address, index, limits.watchSilence());
             watch.start();
         }
     }
 
+    /**
+     * Another address from now on. Danger: the old one ends soon and the new one may be slow; what is followed
+     * is left only for a watch that has told something.
+     */
+    public void moveTo(InetSocketAddress to) {
+        Watch before = coming;
+        coming = null;
+        if (before != null) {
+            before.end();
+        }
+        if (!to.equals(address)) {
+            // Its index counts another list, of which this balancer has seen nothing.
+            coming = new Watch(to, 0, limits.moveSilence());
+            coming.start();
+        } else {
+            watch();
+        }
+    }
+
     private final class Watch implements Link {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream(256);
         private final HttpParser parser = HttpParser.stream(limits, this::bytes);
+        private final InetSocketAddress at;
+        private final long after;
+        private long silence;
         private Runnable giveUpConnecting;
         private Channel channel;
         private boolean told;
         private long heardAt = owner.now();
 
+        Watch(InetSocketAddress at, long after, long silence) {
+            this.at = at;
+            this.after = after;
+            this.silence = silence;
+        }
+
         void start() {
-            giveUpConnecting = network.connect(address, this);
-            owner.at(heardAt + limits.watchSilence(), this::check);
+            giveUpConnecting = network.connect(at, this);
+            owner.at(heardAt + silence, this::check);
+        }
+
+        private void startIfWanted() {
+            if (!over()) {
+                heardAt = owner.now();
+                start();
+            }
+        }
+
+        private boolean over() {
+            return watch != this && coming != this;
         }
 
         /** Danger: a watch on a machine that is cut off stays open and says nothing, of drains neither. */
         private void check() {
-            if (watch == this) {
-                long due = heardAt + limits.watchSilence();
+            if (!over()) {
+                long due = heardAt + silence;
                 if (owner.now() < due) {
                     owner.at(due, this::check);
                 } else {
@@ -73,17 +114,17 @@
         @Override
         public void opened(Channel opened) {
             channel = opened;
-            if (watch != this) {
+            if (over()) {
                 channel.close();
                 return;
             }
-            channel.write(("GET /catalog/members?watch=1&after=" + index + " HTTP/1.1\r\nHost: discovery\r\n\r\n")
+            channel.write(("GET /catalog/members?watch=1&after=" + after + " HTTP/1.1\r\nHost: discovery\r\n\r\n")
                     .getBytes(StandardCharsets.ISO_8859_1));
         }
 
         @Override
-        public void received(byte[] bytes, long at) {
-            if (watch != this) {
+        public void received(byte[] bytes, long readAt) {
+            if (over()) {
                 return;
             }
             try {
@@ -102,11 +143,11 @@
             return parser.head().start[1].equals("200");
         }
 
-        private void bytes(byte[] from, int at, int length) throws BadMessage {
+        private void bytes(byte[] from, int first, int length) throws BadMessage {
             if (!granted()) {
                 return;
             }
-            for (int i = at; i < at + length; i++) {
+            for (int i = first; i < first + length; i++) {
                 if (from[i] != '\n') {
                     line.write(from[i]);
                     if (line.size() > limits.catalogLineBytes()) {
@@ -119,6 +160,9 @@
                 line.reset();
                 if (!new String(whole, StandardCharsets.ISO_8859_1).isBlank()) {
                     Catalog catalog = Catalog.parse(whole);
+                    if (coming == this) {
+                        follow();
+                    }
                     index = catalog.index();
                     told = true;
                     listener.news(catalog);
@@ -134,20 +178,49 @@
             lost("closed");
         }
 
-        /** A watch that told something is taken up again at once, spread; else the listener decides when. */
-        private void lost(String why) {
-            if (watch != this) {
-                return;
+        /** The new address has told something: it is followed, the old one left. */
+        private void follow() {
+            Watch before = watch;
+            watch = this;
+            coming = null;
+            address = at;
+            silence = limits.watchSilence();
+            if (before != null) {
+                before.end();
             }
-            watch = null;
+            LOG.log(System.Logger.Level.INFO, "following discovery at {0}", at);
+        }
+
+        private void end() {
             if (channel != null) {
                 channel.close();
             } else if (giveUpConnecting != null) {
                 giveUpConnecting.run();
             }
+        }
+
+        /** A watch that told something is taken up again at once, spread; else the listener decides when. */
+        private void lost(String why) {
+            if (over()) {
+                return;
+            }
+            boolean moving = coming == this;
+            if (moving) {
+                coming = null;
+            } else {
+                watch = null;
+            }
+            end();
             LOG.log(System.Logger.Level.INFO, "watch lost: {0}", why);
-            if (told) {
-                owner.at(owner.now() + (long) (listener.chance() * limits.watchSpread()), Discovery.this::watch);
+            long soon = owner.now() + (long) (listener.chance() * limits.watchSpread());
+            if (moving) {
+                // Danger: what it has to tell counts as told seconds after the move. It is asked until it tells.
+                coming = new Watch(at, after, limits.moveSilence());
+                owner.at(soon, coming::startIfWanted);
+            } else if (coming != null) {
+                return; // the old address takes no new connection; the new one is being asked
+            } else if (told) {
+                owner.at(soon, Discovery.this::watch);
             } else {
                 listener.failed();
             }
--- a/src/main/java/gorsestack/wire/Head.java
+++ b/src/main/java/gorsestack/wire/Head.java
@@ -19,7 +19,7 @@
     private final int[] lineAt;
 
     /** The bytes of all lines, each with its line end, without the empty line. */
-    Head(byte[] bytes) throws BadMessage {
+    Head(byte[] bytes, boolean strict) throws BadMessage {
         this.bytes = bytes;
         int lines = 0;
         for (byte b : bytes) {
@@ -40,7 +40,8 @@
                 throw new BadMessage(400, "a line ends without a carriage return");
             }
             String line = new String(bytes, from, end - 1 - from, StandardCharsets.ISO_8859_1);
-            if (line.indexOf('\r') >= 0 || line.indexOf('\0') >= 0) {
+            // Danger: an upstream closes on what it cannot read. Of an answer only what counts here must be clean.
+            if ((strict || i == 0) && !clean(line)) {
                 throw new BadMessage(400, "a control character in the head");
             }
             lineAt[i] = from;
@@ -50,7 +51,7 @@
             } else {
                 int colon = line.indexOf(':');
                 String name = colon < 0 ? "" : line.substring(0, colon);
-                if (name.isEmpty() || name.chars().anyMatch(c -> c <= ' ')) {
+                if (name.isEmpty() || name.chars().anyMatch(c -> c <= ' ' || c > '~' || "\"(),/:;<=>?@[\\]{}".indexOf(c) >= 0)) {
                     throw new BadMessage(400, "a header line has no proper name");
                 }
                 names[i - 1] = name.toLowerCase(Locale.ROOT);
@@ -64,6 +65,10 @@
         start = first;
     }
 
+    private static boolean clean(String line) {
+        return line.chars().allMatch(c -> c >= ' ' && c <= '~' || c == '\t');
+    }
+
     /** The field's value, null if it is absent; several are joined by commas, as the protocol has it. */
     public String field(String name) {
         String found = null;
@@ -75,6 +80,15 @@
         return found;
     }
 
+    /** Whether the field is there more than once. */
+    boolean doubled(String name) {
+        int found = 0;
+        for (String n : names) {
+            found += n.equals(name) ? 1 : 0;
+        }
+        return found > 1;
+    }
+
     /** Whether a field that lists words holds this one. */
     public boolean lists(String name, String word) {
         String value = field(name);
@@ -99,7 +113,7 @@
             }
         }
         for (int i = 0; i < names.length; i++) {
-            if (!skipped.contains(names[i])) {
+            if (!skipped.contains(names[i]) && clean(values[i])) {
                 to.write(bytes, lineAt[i + 1], lineAt[i + 2] - lineAt[i + 1]);
             }
         }
--- a/src/main/java/gorsestack/wire/HttpParser.java
+++ b/src/main/java/gorsestack/wire/HttpParser.java
@@ -24,6 +24,7 @@
     private Head head;
     private long left;
     private int lineStart;
+    private int interim;
 
     private HttpParser(boolean request, Limits limits, Body sink) {
         this.request = request;
@@ -86,6 +87,9 @@
                 default -> {
                     byte b = in[i++];
                     line.write(b);
+                    if (state == State.HEAD && request && (b < ' ' && b != '\r' && b != '\n' && b != '\t' || b > '~')) {
+                        throw new BadMessage(400, "not the head of a request");
+                    }
                     if (line.size() > mostHead) {
                         throw new BadMessage(431, "a head over " + mostHead + " bytes");
                     }
@@ -139,14 +143,19 @@
     private void head(byte[] bytes) throws BadMessage {
         line = new ByteArrayOutputStream(32);
         lineStart = 0;
-        Head read = new Head(bytes);
+        Head read = new Head(bytes, request);
         String version = request ? (read.start.length == 3 ? read.start[2] : "") : read.start[0];
         if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
             throw new BadMessage(400, "not HTTP/1.1");
         }
         int status = request ? 0 : (int) number(read.start[1], 10);
         if (!request && status >= 100 && status < 200) {
-            return; // an interim answer; the real one follows
+            // An interim answer; the real one follows. Danger: interim ones without end.
+            interim += bytes.length;
+            if (interim > mostHead || status == 101) {
+                throw new BadMessage(502, "interim answers without an end");
+            }
+            return;
         }
         head = read;
         String coding = head.field("transfer-encoding");
--- a/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -3,35 +3,45 @@
 import gorsestack.serve.Limits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Supplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 
 /** Sockets by Apache MINA: one acceptor and one connector on one processor. */
 public final class MinaNetwork implements Network {
     private static final String LINK = "link";
+    private static final String CHANNEL = "channel";
+    /** One read of one socket: a usual answer whole, a share of a small heap by hundreds. */
+    private static final int MOST_READ = 16 << 10;
 
     private final Owner owner;
+    private final Limits limits;
     private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task, "io");
         thread.setDaemon(true);
         return thread;
     });
     private final NioProcessor processor = new NioProcessor(threads);
-    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processor);
+    private final NioSocketAcceptor acceptor;
     private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
 
     public MinaNetwork(Limits limits, Owner owner) {
         this.owner = owner;
+        this.limits = limits;
+        acceptor = new BoundedAcceptor(threads, processor, limits.clientConnections() + limits.spareConnections());
         acceptor.setBacklog(limits.backlog());
         acceptor.setReuseAddress(true);
         acceptor.setCloseOnDeactivation(false);
@@ -44,6 +54,7 @@
 
     private static void configure(SocketSessionConfig config) {
         config.setTcpNoDelay(true);
+        config.setMaxReadBufferSize(MOST_READ);
         config.setIdleTime(IdleStatus.BOTH_IDLE, 0);
     }
 
@@ -90,7 +101,8 @@
         @Override
         public void sessionOpened(IoSession session) {
             Link link = link(session);
-            Channel channel = new SessionChannel(session);
+            SessionChannel channel = new SessionChannel(session, limits.queuedBytes());
+            session.setAttribute(CHANNEL, channel);
             owner.execute(() -> link.opened(channel));
         }
 
@@ -101,7 +113,12 @@
             byte[] bytes = new byte[buffer.remaining()];
             buffer.get(bytes);
             Link link = link(session);
-            owner.execute(() -> link.received(bytes, at));
+            SessionChannel channel = (SessionChannel) session.getAttribute(CHANNEL);
+            channel.queued(bytes.length);
+            owner.execute(() -> {
+                channel.queued(-bytes.length);
+                link.received(bytes, at);
+            });
         }
 
         @Override
@@ -125,7 +142,38 @@
         }
     }
 
-    private record SessionChannel(IoSession session) implements Channel {
+    /** Danger: out of descriptors nothing is accepted for a second; over its bound it waits for room instead. */
+    private static final class BoundedAcceptor extends NioSocketAcceptor {
+        private final int most;
+
+        BoundedAcceptor(Executor threads, NioProcessor processor, int most) {
+            super(threads, processor);
+            this.most = most;
+        }
+
+        @Override
+        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listener) throws Exception {
+            if (getManagedSessionCount() >= most) {
+                Thread.sleep(1); // its own thread; what has connected waits in the backlog
+                return null;
+            }
+            return super.accept(processor, listener);
+        }
+    }
+
+    /** Danger: a sender at full speed fills the memory with what the owner has not come to. */
+    private static final class SessionChannel implements Channel {
+        private final IoSession session;
+        private final int mostQueued;
+        private int queued;
+        private boolean held;
+        private boolean stopped;
+
+        SessionChannel(IoSession session, int mostQueued) {
+            this.session = session;
+            this.mostQueued = mostQueued;
+        }
+
         @Override
         public void write(byte[] bytes) {
             session.write(IoBuffer.wrap(bytes));
@@ -142,11 +190,25 @@
         }
 
         @Override
-        public void hold(boolean stop) {
-            if (stop) {
-                session.suspendRead();
-            } else {
-                session.resumeRead();
+        public synchronized void hold(boolean stop) {
+            held = stop;
+            update();
+        }
+
+        synchronized void queued(int change) {
+            queued += change;
+            update();
+        }
+
+        private void update() {
+            boolean stop = held || queued > mostQueued;
+            if (stop != stopped) {
+                stopped = stop;
+                if (stop) {
+                    session.suspendRead();
+                } else {
+                    session.resumeRead();
+                }
             }
         }
     }
--- a/src/main/java/gorsestack/wire/Request.java
+++ b/src/main/java/gorsestack/wire/Request.java
@@ -1,5 +1,6 @@
 package gorsestack.wire;
 
+import gorsestack.decision.Settings;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 
@@ -13,21 +14,51 @@
             throw new BadMessage(405, "method " + method);
         }
         String id = head.field("x-correlation-id");
-        if (id == null || id.isEmpty()) {
-            throw new BadMessage(400, "no X-Correlation-Id");
+        if (id == null || id.isEmpty() || id.length() > 200 || id.indexOf(' ') >= 0 || id.indexOf('\t') >= 0) {
+            throw new BadMessage(400, "X-Correlation-Id must be there once");
+        }
+        if (head.doubled("idempotency-key") || head.doubled("host")) {
+            throw new BadMessage(400, "a header that must be there once is there twice");
+        }
+        if (!head.start[2].equals("HTTP/1.1")) {
+            throw new BadMessage(505, "calls are HTTP/1.1");
         }
         int end = 1;
         while (end < target.length() && "/?#".indexOf(target.charAt(end)) < 0) {
             end++;
         }
-        if (!target.startsWith("/")) {
+        if (!target.startsWith("/") || target.indexOf('\t') >= 0) {
             throw new BadMessage(400, "a target that is no path");
         }
         return new Request(head, body, id, target.substring(1, end), TimeLeft.read(head.field("x-time-left")));
     }
 
-    boolean hasKey() {
-        return head.field("idempotency-key") != null;
+    /** Danger: an upstream reads from method and key whether a call may be repeated; null where they fit the class. */
+    BadMessage misfit(Settings.Repeat repeat) {
+        boolean get = repeat == Settings.Repeat.IDEMPOTENT;
+        if (get != head.start[0].equals("GET")) {
+            return new BadMessage(405, "this class takes " + (get ? "GET" : "POST"));
+        }
+        if (get && body.length > 0) {
+            return new BadMessage(400, "a GET with a body");
+        }
+        String key = head.field("idempotency-key");
+        return switch (repeat) {
+            case IDEMPOTENT -> null;
+            case DEDUPLICATED -> key != null && !key.isEmpty() ? null
+                    : new BadMessage(400, "this class needs an Idempotency-Key");
+            case NON_IDEMPOTENT -> key == null ? null : new BadMessage(400, "this class takes no Idempotency-Key");
+        };
+    }
+
+    /** Whether these bytes, as far as they go, can be the start of a request. */
+    static boolean canBegin(byte[] bytes, int from) {
+        int at = from;
+        while (at < bytes.length && (bytes[at] == '\r' || bytes[at] == '\n')) {
+            at++;
+        }
+        String start = new String(bytes, at, Math.min(5, bytes.length - at), StandardCharsets.ISO_8859_1);
+        return "GET /".startsWith(start) || "POST ".startsWith(start);
     }
 
     /** The same call for an upstream, which is told how long this balancer will wait. */
--- a/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -27,17 +27,21 @@
     public long idleSince;
 
     private final Limits limits;
+    private final Owner owner;
     private final Keeper keeper;
     private Runnable giveUpConnecting;
     private Channel channel;
     private HttpParser parser;
     private Waiting waiting;
     private byte[] unsent;
+    private long lastByteAt;
+    private boolean checked;
     private boolean written;
     private boolean closed;
 
-    public UpstreamConnection(Limits limits, Keeper keeper, String upstream, InetSocketAddress address) {
+    public UpstreamConnection(Limits limits, Owner owner, Keeper keeper, String upstream, InetSocketAddress address) {
         this.limits = limits;
+        this.owner = owner;
         this.keeper = keeper;
         this.upstream = upstream;
         this.address = address;
@@ -81,6 +85,7 @@
             return;
         }
         keeper.heard(upstream);
+        lastByteAt = owner.now();
         if (waiting == null) {
             close(); // bytes that no shot asked for; a later one must not take them for its answer
             return;
@@ -88,11 +93,15 @@
         try {
             int used = parser.feed(bytes, 0, bytes.length);
             if (parser.done()) {
+                if (!written) {
+                    // Danger: a second copy of the answer before, taken for this request's.
+                    throw new BadMessage(502, "an answer ahead of its request");
+                }
                 Head head = parser.head();
                 byte[] body = parser.body();
                 Waiting by = waiting;
                 waiting = null;
-                if (used < bytes.length || !written || head.lists("connection", "close")
+                if (used < bytes.length || head.lists("connection", "close")
                         || head.start[0].equals("HTTP/1.0")) {
                     close();
                 } else {
@@ -100,12 +109,28 @@
                 }
                 Outcome outcome = outcome(head);
                 by.ended(outcome, outcome == Outcome.FULFILLED ? Answer.of(head, body) : null);
+            } else if (parser.begun() && !checked) {
+                checked = true;
+                restOfAnswer();
             }
         } catch (BadMessage e) {
-            end(Outcome.ERROR);
+            end(Outcome.SPOILT);
         }
     }
 
+    /** Danger: an answer with a length that does not fit never ends, and holds its call until its time is up. */
+    private void restOfAnswer() {
+        owner.at(lastByteAt + limits.restOfAnswer(), () -> {
+            if (closed || waiting == null || !parser.begun()) {
+                checked = false;
+            } else if (owner.now() >= lastByteAt + limits.restOfAnswer()) {
+                end(Outcome.SPOILT);
+            } else {
+                restOfAnswer();
+            }
+        });
+    }
+
     /** Rule 2: only what says that it was not processed has never run. */
     private static Outcome outcome(Head head) {
         return switch (head.start[1]) {
--- a/src/test/java/gorsestack/serve/ServiceTest.java
+++ b/src/test/java/gorsestack/serve/ServiceTest.java
@@ -1,6 +1,7 @@
 package gorsestack.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -43,6 +44,18 @@
         assertEquals(3_650_000_000L, good.limits().endAfterTerm());
     }
 
+    /** Danger: at SIGHUP the environment still names the discovery of the start. */
+    @Test
+    void rereadsTheFileWithItsOwnDiscovery() throws IOException {
+        Configuration first = read("", "");
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Files.readString(file).replace("18500", "18501").replace("8c1f", "9c1f"));
+        Configuration fresh = Configuration.reread(file, Map.of("ROUTER_NAME", "n7", "ROUTER_DISCOVERY", "127.0.0.1:18500"));
+        assertEquals("/127.0.0.1:18501", fresh.discovery().toString());
+        assertTrue(first.sameButDiscovery(fresh));
+        assertFalse(first.sameButDiscovery(read("1024", "512")));
+    }
+
     @Test
     void saysOfABadConfigurationWhatIsBad() {
         String[][] rows = {{"\"products\": [", "\"others\": [", "no products"}, {"8c1f30d27a5be964", "xyz", "seed"},
