After SIGTERM serve those connected for as long as their calls can be answered

Log times: the second first-tier node was told to end 3 s after the first, closed its connections with the next answer, and the first was not back; nobody was left to ask. Excluded: SIGHUP (all moves were followed within 0.3 s), lists (no shot refused). At fault: Calls.closing said yes from SIGTERM on. Now connections stay until SIGKILL is one SLO away, and no call is left open past then. SIGTERM has a handler of its own, as the JVM closes its log before shutdown hooks end. A 4xx of an upstream finds fault with the call, so is no sickness.

--- a/src/main/java/gorsestack/decision/Outcome.java
+++ b/src/main/java/gorsestack/decision/Outcome.java
@@ -12,7 +12,7 @@
     UNREACHABLE(true),
     /** The connection dropped while the shot was out. */
     BROKEN(false),
-    /** An answer that could not be read: it has run, and the upstream need not be at fault. */
+    /** An answer that cannot be read, or that finds fault with the call: it may have run, and the upstream be well. */
     SPOILT(false),
     CANCELLED(false),
     /** Never left this balancer. */
--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -95,6 +95,9 @@
     private boolean roomAsked;
     private boolean ready;
     private boolean ending;
+    private boolean leaving;
+    /** No call may be open any more then; set once the end is known. */
+    private long lastAnswer = Long.MAX_VALUE;
     private Runnable whenQuiet;
 
     public Calls(Owner owner, Limits limits, Settings settings, long seed, Network network,
@@ -141,7 +144,7 @@
         byClient.put(from, c);
         long longest = products.get(request.product()).clientTimeout();
         long left = request.left() < 0 ? longest : Math.min(longest, request.left());
-        long end = arrivedAt + left;
+        long end = Math.min(arrivedAt + left, lastAnswer);
         c.net = owner.at(end - limits.net(), () -> unanswered(c));
         // Rule 1: on a core that others share, what is answered last may wait for its way out; seen at a start.
         long wayOut = Math.min(limits.wayOut(), left / 10);
@@ -322,7 +325,7 @@
     public boolean closing() {
         // Danger: closed while idle, a connection takes the call with it that is on its way; seen with few
         // descriptors. Just after an answer that says so there is none.
-        return ending || clients.size() > limits.clientConnections();
+        return leaving || clients.size() > limits.clientConnections();
     }
 
     @Override
@@ -341,24 +344,31 @@
         ready = true;
     }
 
-    /** SIGTERM: connections are closed after their next answer. */
-    public void end() {
+    /** SIGTERM: no new connections are wanted; those there are go on until they are left, calls until the last answer. */
+    public void end(long last) {
         ending = true;
+        lastAnswer = last;
         LOG.log(System.Logger.Level.INFO, "ending; {0} calls held", byClient.size());
     }
 
-    /** Closes the connections between calls, and says when the last call has been answered. */
-    public void closeIdle(Runnable quiet) {
-        // One task each, behind what has been read by then: a call that waits its turn is not closed on.
-        List.copyOf(clients).forEach(c -> owner.execute(c::closeIfIdle));
+    /** Says when the last connection has gone. */
+    public void whenQuiet(Runnable quiet) {
         whenQuiet = quiet;
         quiet();
     }
 
+    /** Closes the connections between calls, the others with their answer. */
+    public void leave() {
+        leaving = true;
+        // One task each, behind what has been read by then: a call that waits its turn is not closed on.
+        List.copyOf(clients).forEach(c -> owner.execute(c::closeIfIdle));
+    }
+
     private void quiet() {
         if (clients.isEmpty()) {
-            whenQuiet.run();
+            Runnable quiet = whenQuiet;
             whenQuiet = null;
+            quiet.run();
         }
     }
 
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -25,6 +25,7 @@
         long settle,
         long restOfAnswer,
         long acceptAfterTerm,
+        long serveAfterTerm,
         long endAfterTerm,
         long sweep,
         long warmUp,
@@ -40,8 +41,10 @@
         long connect = (long) (settings.path("limits").path("connectTimeout").asDouble(250) * MS);
         long idle = (long) (settings.path("limits").path("connIdle").asDouble(15_000) * MS);
         double longest = 0;
+        double slo = 0;
         for (JsonNode product : settings.path("products")) {
             longest = Math.max(longest, product.path("clientTimeout").asDouble(0));
+            slo = Math.max(slo, product.path("latencySlo").asDouble(0));
         }
         return new Limits(
                 // Callers may hold a third of all for their calls, each call a shot: the same for both, and in each
@@ -80,6 +83,8 @@
                 250 * MS,
                 // New connections go on coming for 0.2 to 0.4 s after SIGTERM.
                 600 * MS,
+                // What is taken last has the longest SLO left; till then those connected may have nowhere else to go.
+                Math.max(600 * MS, (long) ((longest + 650 - slo) * MS)),
                 // SIGKILL comes no sooner than the longest client timeout and 0.7 s more.
                 (long) (longest * MS) + 650 * MS,
                 500 * MS,
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import sun.misc.Signal;
 
-/** One real balancer: starts it, and ends it at SIGTERM. */
+/** One real balancer: starts it, reads its configuration again at SIGHUP, and ends it at SIGTERM. */
 public final class Service {
     private static final System.Logger LOG = System.getLogger("gorsestack.service");
 
@@ -39,9 +39,10 @@
         calls = new Calls(owner, limits, configuration.settings(), configuration.seed(), network,
                 configuration.discovery(), configuration.known().index());
         owner.execute(() -> calls.news(configuration.known()));
-        // Danger: the JVM's own answer to SIGHUP is to end.
+        // Danger: the JVM's own answer to SIGHUP is to end, and to SIGTERM to close its log first.
         Signal.handle(new Signal("HUP"), signal -> reload());
-        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
+        Signal.handle(new Signal("TERM"), signal -> end());
+        Signal.handle(new Signal("INT"), signal -> end());
         network.listen(configuration.listen(), () -> new ClientConnection(limits, owner, calls));
         WarmUp.calls(limits, configuration.settings(), limits.warmUp());
         WarmUp.sockets(network, owner, configuration.listen(), limits.warmUp());
@@ -62,19 +63,26 @@
         }
     }
 
-    /** SIGTERM: goes on accepting for a while, answers what it holds, closes between calls, and ends in time. */
+    /**
+     * SIGTERM: goes on accepting for a while, and serving those connected until what they ask could not be answered
+     * any more, as another balancer may not be there yet; ends with the last of them.
+     */
     private void end() {
         Limits limits = configuration.limits();
-        owner.execute(calls::end);
-        owner.at(owner.now() + limits.acceptAfterTerm(), () -> {
+        long told = owner.now();
+        owner.execute(() -> calls.end(told + limits.endAfterTerm() - limits.wayOut()));
+        owner.at(told + limits.acceptAfterTerm(), () -> {
             network.stopAccepting();
-            calls.closeIdle(ended::countDown);
+            calls.whenQuiet(ended::countDown);
         });
+        owner.at(told + limits.serveAfterTerm(), calls::leave);
         try {
             ended.await(limits.endAfterTerm(), TimeUnit.NANOSECONDS);
             Thread.sleep(20); // what was answered last is still on its way out
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        LOG.log(System.Logger.Level.INFO, "ended");
+        System.exit(0);
     }
 }
--- a/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -136,7 +136,8 @@
         return switch (head.start[1]) {
             case "200" -> Outcome.FULFILLED;
             case "503", "504" -> "1".equals(head.field("x-unprocessed")) ? Outcome.FULL : Outcome.ERROR;
-            default -> Outcome.ERROR;
+            // It is the call that is turned down. Danger: bad clients' calls make every upstream look sick.
+            default -> head.start[1].startsWith("4") ? Outcome.SPOILT : Outcome.ERROR;
         };
     }
 
--- a/src/test/java/gorsestack/memory/CallsTest.java
+++ b/src/test/java/gorsestack/memory/CallsTest.java
@@ -531,15 +531,20 @@
         Socket idle = rig.client();
         Socket busy = rig.client();
         busy.say(call("once", "c"));
-        rig.calls.end();
+        rig.calls.end(rig.now + 1_500 * MS);
         Socket late = rig.client();
         late.say("GET /_health HTTP/1.1\r\n\r\n");
         answered(503, late);
         Socket still = rig.client();
         still.say(call("read", "d"));
         boolean[] quiet = {false};
+        rig.calls.whenQuiet(() -> quiet[0] = true);
+        // Danger: the other balancer may not be there yet; those connected are served for as long as can be.
+        idle.say(call("read", "e"));
+        rig.last().ok("e");
+        answered(200, idle);
         assertTrue(idle.open);
-        rig.calls.closeIdle(() -> quiet[0] = true);
+        rig.calls.leave();
         rig.drain();
         assertFalse(idle.open);
         rig.shots().get(0).ok("c");
@@ -549,16 +554,29 @@
         assertTrue(quiet[0]);
     }
 
+    /** Rule 1: what is taken after SIGTERM has its answer before the process may be killed. */
+    @Test
+    void endsACallTakenLateBeforeTheEnd() throws IOException {
+        Rig rig = rig(1);
+        Socket client = rig.client();
+        rig.calls.end(rig.now + 900 * MS);
+        client.say(call("once", "c"));
+        rig.pass(840);
+        assertEquals("", client.out);
+        rig.pass(60);
+        answered(504, client);
+    }
+
     /** Rule 1: seen with few descriptors; a call that had been read was lost with the idle connection it came on. */
     @Test
     void answersACallThatCrossesTheClosing() throws IOException {
         Rig rig = rig(1);
         Socket client = rig.client();
-        rig.calls.end();
+        rig.calls.end(Long.MAX_VALUE);
         byte[] read = call("read", "c").getBytes(StandardCharsets.US_ASCII);
         rig.execute(() -> {
             rig.execute(() -> client.link.received(read, rig.now)); // read by now, and waiting its turn
-            rig.calls.closeIdle(() -> { });
+            rig.calls.leave();
         });
         rig.drain();
         assertTrue(client.open);
