--- a/src/main/java/gorsestack/serve/WarmUp.java
+++ b/src/main/java/gorsestack/serve/WarmUp.java
@@ -27,8 +27,8 @@
 final class WarmUp {
     /** Two hundred invocations get a method compiled; more would pay off later than they cost at a restart. */
     private static final int CALLS = 200;
-    private static final int CONNECTIONS = 6;
-    private static final int CHECKS = 12;
+    private static final int CONNECTIONS = 4;
+    private static final int CHECKS = 8;
     private static final byte[] OK = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Type: text/plain\r\n\r\nwarm\n"
             .getBytes(StandardCharsets.US_ASCII);
 
