--- a/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/src/main/java/gorsestack/wire/ClientConnection.java
@@ -2,8 +2,9 @@
 
 import gorsestack.decision.Settings;
 import gorsestack.serve.Limits;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Arrays;
 
 /** A connection that a client opened: one API call at a time, each with one answer. */
 public final class ClientConnection implements Link {
@@ -28,13 +29,16 @@
         Settings.Repeat repeat(String product);
     }
 
+    private record Chunk(byte[] bytes, long at) { }
+
     private static final System.Logger LOG = System.getLogger("gorsestack.client");
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Limits limits;
     private final Intake intake;
     private final Owner owner;
-    private final ByteArrayOutputStream ahead = new ByteArrayOutputStream(0);
+    private final ArrayDeque<Chunk> ahead = new ArrayDeque<>(1);
+    private int aheadBytes;
     private HttpParser parser;
     private Channel channel;
     private long openedAt;
@@ -83,14 +87,14 @@
         }
         lastByteAt = at;
         if (busy) {
-            boolean begins = ahead.size() < 5;
-            ahead.writeBytes(bytes);
-            if (begins && !Request.canBegin(ahead.toByteArray(), 0)) {
+            if (ahead.isEmpty() && !Request.canBegin(bytes, 0)) {
                 intake.gone(this);
                 bad(new BadMessage(400, "more than the length said"));
                 return;
             }
-            if (ahead.size() > limits.bodyBytes() && !held) {
+            ahead.add(new Chunk(bytes, at));
+            aheadBytes += bytes.length;
+            if (aheadBytes > limits.bodyBytes() && !held) {
                 held = true;
                 channel.hold(true);
             }
@@ -110,7 +114,10 @@
                 if (!Request.canBegin(bytes, used)) {
                     throw new BadMessage(400, "more than the length said");
                 }
-                ahead.write(bytes, used, bytes.length - used);
+                if (used < bytes.length) {
+                    ahead.addFirst(new Chunk(Arrays.copyOfRange(bytes, used, bytes.length), lastByteAt));
+                    aheadBytes += bytes.length - used;
+                }
                 whole(parser.head(), parser.body());
             } else if (parser.head() != null && !told && parser.head().lists("expect", "100-continue")) {
                 told = true;
@@ -174,7 +181,7 @@
             held = false;
             channel.hold(false);
         }
-        if (ahead.size() > 0) {
+        if (!ahead.isEmpty()) {
             // Danger: hundreds of calls sent ahead, each answered at once, would be read inside each other.
             owner.execute(this::readAhead);
         } else {
@@ -182,12 +189,14 @@
         }
     }
 
+    /** Rule 1: a call sent ahead has been taken when its last byte came, not when its turn did. */
     private void readAhead() {
-        if (!closed) {
-            busy = false;
-            byte[] more = ahead.toByteArray();
-            ahead.reset();
-            read(more);
+        busy = false;
+        while (!closed && !deaf && !busy && !ahead.isEmpty()) {
+            Chunk chunk = ahead.remove();
+            aheadBytes -= chunk.bytes.length;
+            lastByteAt = chunk.at;
+            read(chunk.bytes);
         }
     }
 
--- a/src/test/java/gorsestack/memory/CallsTest.java
+++ b/src/test/java/gorsestack/memory/CallsTest.java
@@ -763,4 +763,55 @@
         rig.pass(600);
         assertTrue(rig.last(8501).out.contains("after=3 "), rig.last(8501).out);
     }
+
+    /** Danger: a new upstream at the address of one that has gone gets nothing that was the old one's. */
+    @Test
+    void forgetsAnUpstreamThatHasGone() throws IOException {
+        Rig rig = watching(1);
+        Socket client = rig.client();
+        client.say(call("once", "c"));
+        Socket old = rig.last();
+        watched(rig, "{\"index\":44,\"endpoints\":[" + up(1, "terminated") + ","
+                + up(1, "in_service").replace("\"s1\"", "\"t1\"") + "]}");
+        old.ok("c");
+        answered(200, client);
+        assertFalse(old.open, "it is of no further use");
+        rig.pass(50);
+        client.say(call("once", "d"));
+        assertTrue(rig.last() != old && rig.last().to.equals(old.to));
+        rig.last().ok("d");
+        answered(200, client);
+    }
+
+    /** Danger: bad clients' calls are turned down by every upstream; taken for sickness that empties the fleet. */
+    @Test
+    void takesACallThatIsTurnedDownForNoSickness() throws IOException {
+        Rig rig = rig(2);
+        int turnedDown = 0;
+        for (int i = 0; i < 40; i++) {
+            rig.client().say(call("once", "c" + i));
+            boolean first = rig.last().to.toString().equals("/127.0.1.1:80");
+            rig.last().say((first ? "HTTP/1.1 400 Bad" : "HTTP/1.1 200 OK") + "\r\nContent-Length: 0\r\n\r\n");
+            turnedDown += first ? 1 : 0;
+        }
+        assertTrue(turnedDown > 8, "turned down " + turnedDown);
+    }
+
+    /** Rule 1: the time of a call that was sent ahead runs from when it came, not from its turn. */
+    @Test
+    void countsTheTimeOfACallSentAheadFromItsLastByte() throws IOException {
+        Rig rig = rig(1);
+        Socket client = rig.client();
+        client.say(call("once", "c"));
+        rig.pass(100);
+        client.say(call("once", "d"));
+        rig.pass(900);
+        client.say(call("once", "e"));
+        rig.last().ok("c");
+        answered(200, client);
+        assertTrue(rig.last().out.contains("X-Correlation-Id: d\r\nX-Time-Left: 1065000u"), rig.last().out);
+        rig.pass(1_100);
+        answered(504, client);
+        assertTrue(rig.last().out.contains("X-Correlation-Id: e\r\nX-Time-Left: 900000u"), rig.last().out);
+    }
 }
--- a/src/test/java/gorsestack/serve/ServiceTest.java
+++ b/src/test/java/gorsestack/serve/ServiceTest.java
@@ -10,6 +10,7 @@
 import gorsestack.wire.Link;
 import gorsestack.wire.MinaNetwork;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -19,8 +20,11 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -120,4 +124,74 @@
             assertEquals(100_000, client.getInputStream().readAllBytes().length, "an answer goes out whole");
         }
     }
+
+    /** Danger: a sender at full speed fills the memory ahead of a busy owner; too many connections use up the descriptors. */
+    @Test
+    void readsAndAcceptsNoMoreThanThereIsRoomFor() throws Exception {
+        BlockingQueue<Channel> opened = new LinkedBlockingQueue<>();
+        AtomicLong read = new AtomicLong();
+        OwnerThread owner = new OwnerThread();
+        Limits limits = read("\"sockets\": 1024", "\"sockets\": 96").limits();
+        int most = limits.clientConnections() + limits.spareConnections();
+        MinaNetwork network = new MinaNetwork(limits, owner);
+        InetSocketAddress address;
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            address = new InetSocketAddress(any.getInetAddress(), any.getLocalPort());
+        }
+        network.listen(address, () -> new Link() {
+            @Override
+            public void opened(Channel channel) {
+                opened.add(channel);
+            }
+
+            @Override
+            public void received(byte[] bytes, long at) {
+                read.addAndGet(bytes.length);
+            }
+
+            @Override
+            public void sent() { }
+
+            @Override
+            public void closed() { }
+        });
+        Socket[] clients = new Socket[most + 4];
+        for (int i = 0; i < clients.length; i++) {
+            clients[i] = new Socket(address.getAddress(), address.getPort());
+        }
+        Channel first = opened.poll(10, TimeUnit.SECONDS);
+        for (int i = 1; i < most; i++) {
+            opened.poll(10, TimeUnit.SECONDS);
+        }
+        assertEquals(null, opened.poll(200, TimeUnit.MILLISECONDS), "the others wait in the backlog");
+        CountDownLatch go = new CountDownLatch(1);
+        owner.execute(() -> {
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        byte[] much = new byte[60_000_000];
+        AtomicBoolean written = new AtomicBoolean();
+        Thread sender = new Thread(() -> {
+            try {
+                clients[1].getOutputStream().write(much);
+                written.set(true);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        sender.start();
+        sender.join(500);
+        assertFalse(written.get(), "the owner has read nothing yet");
+        go.countDown();
+        sender.join(20_000);
+        assertTrue(written.get(), "it goes on once the owner does");
+        first.close();
+        assertTrue(opened.poll(10, TimeUnit.SECONDS) != null, "one more for the one that has gone");
+        for (Socket client : clients) {
+            client.close();
+        }
+    }
 }
