--- a/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -145,6 +146,7 @@
     /** Danger: out of descriptors nothing is accepted for a second; over its bound it waits for room instead. */
     private static final class BoundedAcceptor extends NioSocketAcceptor {
         private final int most;
+        private final AtomicInteger open = new AtomicInteger();
 
         BoundedAcceptor(Executor threads, NioProcessor processor, int most) {
             super(threads, processor);
@@ -153,11 +155,16 @@
 
         @Override
         protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listener) throws Exception {
-            if (getManagedSessionCount() >= most) {
+            if (open.get() >= most) {
                 Thread.sleep(1); // its own thread; what has connected waits in the backlog
                 return null;
             }
-            return super.accept(processor, listener);
+            NioSession session = super.accept(processor, listener);
+            if (session != null) {
+                open.incrementAndGet();
+                session.getCloseFuture().addListener(future -> open.decrementAndGet());
+            }
+            return session;
         }
     }
 
