Give calls that may not be repeated new connections while kept ones end under calls

Idle time was ruled out (none closed as idle by its limit). At fault: Pool.take gives the connection used last to any call.

--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -204,7 +204,8 @@
         s.until = s.at + giveUpAfter;
         c.shots.add(s);
         c.out++;
-        s.connection = pool.take(upstream);
+        s.connection = pool.take(upstream,
+                products.get(c.request.product()).repeat() != Settings.Repeat.NON_IDEMPOTENT);
         if (s.connection == null) {
             notSent++;
             owner.execute(() -> s.ended(Outcome.NOT_SENT, null));
--- a/src/main/java/gorsestack/memory/Pool.java
+++ b/src/main/java/gorsestack/memory/Pool.java
@@ -26,6 +26,7 @@
     private final Network network;
     private final Limits limits;
     private final Owner owner;
+    private long trustKeptAt;
 
     Pool(Network network, Limits limits, Owner owner) {
         this.network = network;
@@ -55,11 +56,11 @@
     }
 
     /** A connection for one shot, the idle one used last or a new one; null if there can be none. */
-    UpstreamConnection take(String upstream) {
+    UpstreamConnection take(String upstream, boolean mayRepeat) {
         // Danger: a second copy right behind an answer would be taken for the next shot's; it gets time to come.
         long settled = owner.now() - limits.settle();
         Iterator<UpstreamConnection> kept = idle.getOrDefault(upstream, NONE).descendingIterator();
-        while (kept.hasNext()) {
+        while ((mayRepeat || owner.now() >= trustKeptAt) && kept.hasNext()) {
             UpstreamConnection connection = kept.next();
             if (connection.idleSince <= settled) {
                 kept.remove();
@@ -104,6 +105,12 @@
         }
     }
 
+    /** Danger: upstreams that end kept connections under a request; a call that may not be repeated is lost there. */
+    @Override
+    public void keptInVain() {
+        trustKeptAt = owner.now() + limits.mistrust();
+    }
+
     boolean heardSince(String upstream, long time) {
         return heardAt.getOrDefault(upstream, Long.MIN_VALUE) >= time;
     }
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -23,6 +23,7 @@
         long idleClient,
         long fresh,
         long settle,
+        long mistrust,
         long restOfAnswer,
         long acceptAfterTerm,
         long serveAfterTerm,
@@ -79,6 +80,8 @@
                 50 * MS,
                 // What an upstream sends behind its answer comes with it; 10 ms are many turns of the socket thread.
                 10 * MS,
+                // A new connection costs an upstream a hundredth of a call; where it happens it happens every second or two.
+                10_000 * MS,
                 // Twice the longest pause seen in a day; an answer is written at once, a body is 64 KiB at most.
                 250 * MS,
                 // New connections go on coming for 0.2 to 0.4 s after SIGTERM.
--- a/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -19,6 +19,9 @@
         void closed(UpstreamConnection connection);
 
         void heard(String upstream);
+
+        /** A connection that had been kept ended under a request, with nothing said to it. */
+        void keptInVain();
     }
 
     public final String upstream;
@@ -36,6 +39,8 @@
     private byte[] unsent;
     private long lastByteAt;
     private boolean checked;
+    private boolean kept;
+    private boolean silent;
     private boolean written;
     private boolean closed;
 
@@ -53,6 +58,8 @@
 
     /** Sends one shot, once the connection is up. */
     public void send(byte[] request, Waiting by) {
+        kept = parser != null;
+        silent = true;
         waiting = by;
         written = false;
         parser = HttpParser.answer(limits);
@@ -86,6 +93,7 @@
         }
         keeper.heard(upstream);
         lastByteAt = owner.now();
+        silent = false;
         if (waiting == null) {
             close(); // bytes that no shot asked for; a later one must not take them for its answer
             return;
@@ -172,6 +180,9 @@
 
     @Override
     public void closed() {
+        if (!closed && waiting != null && kept && silent) {
+            keeper.keptInVain();
+        }
         // Rule 2: a request whose last byte was not written cannot have begun.
         end(written ? Outcome.BROKEN : Outcome.UNREACHABLE);
     }
--- a/src/test/java/gorsestack/memory/CallsTest.java
+++ b/src/test/java/gorsestack/memory/CallsTest.java
@@ -814,4 +814,35 @@
         answered(504, client);
         assertTrue(rig.last().out.contains("X-Correlation-Id: e\r\nX-Time-Left: 900000u"), rig.last().out);
     }
+
+    /** Danger: seen with upstreams that reset kept connections; calls that may not be repeated were lost. */
+    @Test
+    void trustsNoKeptConnectionWithACallThatMayNotBeRepeatedOnceOneEnded() throws IOException {
+        Rig rig = rig(1);
+        Socket client = rig.client();
+        for (String product : new String[] {"read", "once", "read"}) {
+            client.say(call(product, "a"));
+            rig.last().ok("a");
+            answered(200, client);
+            rig.pass(50);
+        }
+        assertEquals(1, rig.shots().size());
+        Socket other = rig.client();
+        client.say(call("read", "b"));
+        other.say(call("read", "c"));
+        rig.shots().get(1).ok("c");
+        rig.pass(50);
+        rig.shots().get(0).end();
+        rig.drain();
+        client.taken();
+        other.taken();
+        int before = rig.shots().size();
+        other.say(call("once", "d"));
+        assertEquals(before + 1, rig.shots().size(), "a new connection");
+        rig.last().ok("d");
+        answered(200, other);
+        rig.pass(11_000);
+        other.say(call("once", "e"));
+        assertEquals(before + 1, rig.shots().size(), "kept ones again");
+    }
 }
