Try again at once what failed while time is left, in a zone of one at the same upstream

At fault: the two levels of pick in the first tier, and the bound of two shots in moreMayCome, which counted shots that were over.

--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -350,7 +350,8 @@
     /** Rule 2: whether a further shot is allowed at all, now or later. */
     private boolean moreMayCome(Call c) {
         int anchor = c.anchor();
-        if (c.shots >= c.most && anchor >= 0 || c.shots >= Math.min(MOST, limit.mostShots())) {
+        // Danger: two quick failures leave most of the time unused; two are enough beside one that is out.
+        if (c.shots >= c.most && c.out > 0 && anchor >= 0 || c.shots >= Math.min(MOST, limit.mostShots())) {
             return false;
         }
         return anchor < 0 || c.product.repeat() == Repeat.IDEMPOTENT
@@ -370,7 +371,7 @@
     /** Danger: when all is slow every timer trips, and the copies slow it further. */
     private void shoot(Call c) {
         c.next = c.shots == 0 ? now + c.patience : c.next + c.patience;
-        // Danger: after a failure a call waits for its next copy with nothing out. Sent at once it takes nobody's
+        // Danger: after a failure a call waits for its next copy with nothing out. Sent at once it takes no
         // time twice, so the budget of copies gives three for one; what is proven not run costs nothing.
         double price = c.anchor() < 0 ? 0 : c.out == 0 ? 0.3 : 1;
         int u = copies < price || !limit.secondCopies() && c.out > 0 ? -1 : pick(c);
@@ -472,9 +473,10 @@
             return sickOne;
         }
         boolean anyWell = Arrays.stream(groups).anyMatch(g -> g.ill < g.members.length);
-        // Danger: with all rooms taken, a lost zone's upstreams have room, and every shot past it fails
-        // there. The first tier tries sick ones (but for trials) only when none is well.
-        int levels = settings.tier() == 0 && anyWell ? 2 : 4;
+        // Danger: with all rooms taken, a lost zone's upstreams have room, and shots past it fail there.
+        // The first tier tries sick ones (but for trials) only when none is well. With nothing out one that
+        // failed is tried once more: a deduplicated call may have no other.
+        int levels = settings.tier() == 0 && anyWell ? 3 : 4;
         for (int level = 0; level < levels; level++) {
             for (int i = 0; i < groups.length; i++) {
                 Group g = groups[(start + i) % groups.length];
@@ -485,9 +487,10 @@
                 for (int k = 0; k < n || any; k++) {
                     int u = g.members[(g.cursor + k) % n];
                     double speed = speed(u);
-                    if ((level > 0 || up.inFlight[u] <= crowd * speed) && (level > 1 || !up.sick[u])
-                            && (level > 2 || c.shots == 0 || Arrays.stream(c.to, 0, c.shots)
-                            .noneMatch(to -> to == u)) && dropsRepeat(c, anchor, u) && hasTurn(u)) {
+                    if ((level > 0 || up.inFlight[u] <= crowd * speed) && (level > 2 || !up.sick[u])
+                            && (level > 2 || level > 1 && c.out == 0 || c.shots == 0
+                            || Arrays.stream(c.to, 0, c.shots).noneMatch(to -> to == u))
+                            && dropsRepeat(c, anchor, u) && hasTurn(u)) {
                         any = true;
                         // Turns in proportion to speed: the quickest take each, others let some pass.
                         up.turn[u] += speed / 2;
--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -123,6 +123,28 @@
         assertTrue(used.contains("u0"), used.toString());
     }
 
+    /** Danger: seen with resets and spoilt answers; calls were given up within milliseconds, keyed ones after one shot. */
+    @Test
+    void triesAgainAtOnceWhatFailedWithNothingElseOut() {
+        Play play = new Play(Play.settings(1, 0, 4, false, Scope.ZONE), 1);
+        play.tell(Form.CACHED, entry("u0", State.READY, 0, 0, "a"), entry("u1", State.READY, 0, 1, "b"));
+        for (int i = 0; i < 400; i++) {
+            play.call("w" + i, "once", 1000 * MS);
+            play.end("w" + i, 0, Outcome.FULFILLED);
+        }
+        for (String product : List.of("mark", "read")) {
+            play.call(product, product, 1000 * MS);
+            Play.ApiCall c = play.calls.get(product);
+            play.end(product, 0, Outcome.BROKEN);
+            assertEquals(2, c.shots.size(), "at once");
+            play.end(product, 1, Outcome.SPOILT);
+            assertEquals(3, c.shots.size());
+            play.end(product, 2, Outcome.FULFILLED);
+            assertEquals("fulfilled", c.answer);
+        }
+        play.settle();
+    }
+
     /** Danger: a cold upstream falls over when all balancers together send it more than it can do yet. */
     @Test
     void allBalancersTogetherKeepAColdUpstreamsBudget() {
