Let the socket thread change what sockets wait for; leave a group for as long again as it was ill

The test of bounds on real sockets failed once in four: 60 MB took over 20 s. Checked in the library's code: suspendRead and resumeRead change the selection key in the caller's thread, without a wake-up, beside the selector's own changes; so reading goes on when the selector next wakes, up to a second later, or never. Now such a change is handed to the socket thread. Slow clients and those that send ahead were held that way. Groups: seen in the trace of churn, a zone's only upstream silent for half an SLO was ill for some hundred ms and its zone left for 5 s. A new connection while kept ones are mistrusted takes the place of one of them.

--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -64,6 +64,7 @@
         int ill;
         int warm;
         long backAt;
+        long illAt;
         double room;
         double least;
         double lateness;
@@ -536,14 +537,16 @@
         return -1;
     }
 
-    /** The first group that traffic has not left: left under 70% well, back after 5 s above that. */
+    /** The first group that traffic has not left: under 70% well, and then for as long again, 5 s at most.
+     * Danger: one slow answer from a zone's only upstream, and the zone was left for 5 s. */
     private int activeGroup() {
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
             if (g.members.length - g.ill < 0.7 * g.members.length) {
-                g.backAt = now + 5_000_000_000L;
-            }
-            if (now >= g.backAt) {
+                g.illAt = g.illAt == 0 ? now : g.illAt;
+                g.backAt = now + Math.min(5_000_000_000L, now - g.illAt);
+            } else if (now >= g.backAt) {
+                g.illAt = 0;
                 return i;
             }
         }
--- a/src/main/java/gorsestack/memory/Pool.java
+++ b/src/main/java/gorsestack/memory/Pool.java
@@ -59,13 +59,18 @@
     UpstreamConnection take(String upstream, boolean mayRepeat) {
         // Danger: a second copy right behind an answer would be taken for the next shot's; it gets time to come.
         long settled = owner.now() - limits.settle();
-        Iterator<UpstreamConnection> kept = idle.getOrDefault(upstream, NONE).descendingIterator();
-        while ((mayRepeat || owner.now() >= trustKeptAt) && kept.hasNext()) {
-            UpstreamConnection connection = kept.next();
-            if (connection.idleSince <= settled) {
-                kept.remove();
-                return connection;
+        ArrayDeque<UpstreamConnection> here = idle.getOrDefault(upstream, NONE);
+        if (mayRepeat || owner.now() >= trustKeptAt) {
+            Iterator<UpstreamConnection> kept = here.descendingIterator();
+            while (kept.hasNext()) {
+                UpstreamConnection connection = kept.next();
+                if (connection.idleSince <= settled) {
+                    kept.remove();
+                    return connection;
+                }
             }
+        } else if (!here.isEmpty()) {
+            here.peekFirst().close(); // the new one takes its place; an upstream holds only so many
         }
         InetSocketAddress address = addresses.get(upstream);
         if (address == null || all.size() >= limits.upstreamConnections() && !dropOldest()) {
--- a/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -35,7 +35,7 @@
         thread.setDaemon(true);
         return thread;
     });
-    private final NioProcessor processor = new NioProcessor(threads);
+    private final NioProcessor processor = new OrderlyProcessor(threads);
     private final NioSocketAcceptor acceptor;
     private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
 
@@ -143,6 +143,33 @@
         }
     }
 
+    /**
+     * Danger: the library changes what a socket waits for in the caller's thread. Beside the selector's own changes one
+     * is lost, and reading goes on only when the selector next wakes, up to a second later.
+     */
+    private static final class OrderlyProcessor extends NioProcessor {
+        private volatile Thread loop;
+
+        OrderlyProcessor(Executor threads) {
+            super(threads);
+        }
+
+        @Override
+        protected int select(long timeout) throws Exception {
+            loop = Thread.currentThread();
+            return super.select(timeout);
+        }
+
+        @Override
+        public void updateTrafficControl(NioSession session) {
+            if (Thread.currentThread() == loop) {
+                super.updateTrafficControl(session);
+            } else {
+                updateTrafficMask(session);
+            }
+        }
+    }
+
     /** Danger: out of descriptors nothing is accepted for a second; over its bound it waits for room instead. */
     private static final class BoundedAcceptor extends NioSocketAcceptor {
         private final int most;
--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -145,6 +145,38 @@
         play.settle();
     }
 
+    /** Danger: seen with one upstream a zone; one slow answer, and the zone was left for five seconds. */
+    @Test
+    void leavesAGroupForAsLongAgainAsItWasIll() {
+        for (int ill : new int[] {100, 2000, 9000}) {
+            Play play = new Play(Play.settings(1, 0, 1, false, Scope.ALL), 1);
+            play.tell(Form.CACHED, entry("u0", State.READY, 0, 0, "a"), entry("u1", State.READY, 0, 1, "b"));
+            play.call("slow", "once", 12_000 * MS);
+            assertEquals("u0", play.calls.get("slow").shots.get(0).upstream);
+            play.runTo(play.now + 210 * MS);
+            long from = play.now;
+            int calls = 0;
+            for (; play.now < from + ill * MS; play.runTo(play.now + 50 * MS)) {
+                play.call("c" + ++calls, "once", 1000 * MS);
+                play.end("c" + calls, 0, Outcome.FULFILLED);
+                assertEquals("u1", play.calls.get("c" + calls).shots.get(0).upstream);
+            }
+            play.tell(Form.CHANGES, entry("u0", State.READY, play.now - 30_000 * MS, 0, "a"));
+            long well = play.now;
+            while (play.now < well + 6000 * MS) {
+                play.call("c" + ++calls, "once", 1000 * MS);
+                String to = play.calls.get("c" + calls).shots.get(0).upstream;
+                play.end("c" + calls, 0, Outcome.FULFILLED);
+                if (to.equals("u0")) {
+                    break;
+                }
+                play.runTo(play.now + 50 * MS);
+            }
+            long away = (play.now - well) / MS;
+            assertTrue(away <= Math.min(5000, ill) + 100 && away >= Math.min(5000, ill) - 200, ill + " ms ill, away " + away);
+        }
+    }
+
     /** Danger: a cold upstream falls over when all balancers together send it more than it can do yet. */
     @Test
     void allBalancersTogetherKeepAColdUpstreamsBudget() {
--- a/src/test/java/gorsestack/memory/CallsTest.java
+++ b/src/test/java/gorsestack/memory/CallsTest.java
@@ -839,6 +839,7 @@
         int before = rig.shots().size();
         other.say(call("once", "d"));
         assertEquals(before + 1, rig.shots().size(), "a new connection");
+        assertEquals(1, rig.shots().stream().filter(x -> x.open).count(), "in the place of a kept one");
         rig.last().ok("d");
         answered(200, other);
         rig.pass(11_000);
