--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -86,7 +86,8 @@
                 250 * MS,
                 // New connections go on coming for 0.2 to 0.4 s after SIGTERM.
                 600 * MS,
-                // What is taken last has half the longest SLO left, and most take less; till then those connected may have nowhere else to go.
+                // What is taken last has half the longest SLO left, and most take less. Till then those connected may
+                // have nowhere else to go.
                 Math.max(600 * MS, (long) ((longest + 650 - slo / 2) * MS)),
                 // SIGKILL comes no sooner than the longest client timeout and 0.7 s more.
                 (long) (longest * MS) + 650 * MS,
