--- a/src/test/java/gorsestack/serve/ServiceTest.java
+++ b/src/test/java/gorsestack/serve/ServiceTest.java
@@ -183,7 +183,7 @@
             }
         });
         sender.start();
-        sender.join(500);
+        sender.join(3_000);
         assertFalse(written.get(), "the owner has read nothing yet");
         go.countDown();
         sender.join(20_000);
