Tidy after reading the change once more: one start of a watch, one bound, one look-up

Discovery's watch had two ways to start, each with its own time; the bound on accepted connections was added up in two places; a product's repeat was looked up beside the method that does it; the clock was read three times for one connection. Behaviour is as before.

--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -121,7 +121,7 @@
 
     @Override
     public void call(ClientConnection from, Request request, long arrivedAt) {
-        if (clients.size() >= limits.clientConnections() + limits.spareConnections()) {
+        if (clients.size() >= limits.mostAccepted()) {
             // Danger: out of descriptors; a call that was accepted is answered, and its connection given back.
             turnedAway++;
             from.answer(Answer.own(503, "", "too many connections"));
@@ -205,7 +205,7 @@
         c.shots.add(s);
         c.out++;
         s.connection = pool.take(upstream,
-                products.get(c.request.product()).repeat() != Settings.Repeat.NON_IDEMPOTENT);
+                repeat(c.request.product()) != Settings.Repeat.NON_IDEMPOTENT);
         if (s.connection == null) {
             notSent++;
             owner.execute(() -> s.ended(Outcome.NOT_SENT, null));
--- a/src/main/java/gorsestack/memory/Pool.java
+++ b/src/main/java/gorsestack/memory/Pool.java
@@ -58,9 +58,10 @@
     /** A connection for one shot, the idle one used last or a new one; null if there can be none. */
     UpstreamConnection take(String upstream, boolean mayRepeat) {
         // Danger: a second copy right behind an answer would be taken for the next shot's; it gets time to come.
-        long settled = owner.now() - limits.settle();
+        long now = owner.now();
+        long settled = now - limits.settle();
         ArrayDeque<UpstreamConnection> here = idle.getOrDefault(upstream, NONE);
-        if (mayRepeat || owner.now() >= trustKeptAt) {
+        if (mayRepeat || now >= trustKeptAt) {
             Iterator<UpstreamConnection> kept = here.descendingIterator();
             while (kept.hasNext()) {
                 UpstreamConnection connection = kept.next();
@@ -80,7 +81,7 @@
         opened.connect(network);
         all.add(opened);
         // Danger: a machine that is gone answers no connect; the shot on it has to end, as one that never ran.
-        owner.at(owner.now() + limits.connectTimeout(), opened::tooSlow);
+        owner.at(now + limits.connectTimeout(), opened::tooSlow);
         return opened;
     }
 
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -35,6 +35,11 @@
 
     private static final long MS = 1_000_000;
 
+    /** Past these nothing is accepted until there is room. */
+    public int mostAccepted() {
+        return clientConnections + spareConnections;
+    }
+
     /** From the operators' limits and the settings. */
     public static Limits of(JsonNode limits, JsonNode settings) {
         // The JVM holds about 30 descriptors of its own: jar, modules, selectors, log.
--- a/src/main/java/gorsestack/wire/Discovery.java
+++ b/src/main/java/gorsestack/wire/Discovery.java
@@ -75,7 +75,7 @@
         private Runnable giveUpConnecting;
         private Channel channel;
         private boolean told;
-        private long heardAt = owner.now();
+        private long heardAt;
 
         Watch(InetSocketAddress at, long after, long silence) {
             this.at = at;
@@ -83,15 +83,12 @@
             this.silence = silence;
         }
 
+        /** Begins, unless it is not wanted any more. */
         void start() {
-            giveUpConnecting = network.connect(at, this);
-            owner.at(heardAt + silence, this::check);
-        }
-
-        private void startIfWanted() {
             if (!over()) {
                 heardAt = owner.now();
-                start();
+                giveUpConnecting = network.connect(at, this);
+                owner.at(heardAt + silence, this::check);
             }
         }
 
@@ -216,7 +213,7 @@
             if (moving) {
                 // Danger: what it has to tell counts as told seconds after the move. It is asked until it tells.
                 coming = new Watch(at, after, limits.moveSilence());
-                owner.at(soon, coming::startIfWanted);
+                owner.at(soon, coming::start);
             } else if (coming != null) {
                 return; // the old address takes no new connection; the new one is being asked
             } else if (told) {
--- a/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -42,7 +42,7 @@
     public MinaNetwork(Limits limits, Owner owner) {
         this.owner = owner;
         this.limits = limits;
-        acceptor = new BoundedAcceptor(threads, processor, limits.clientConnections() + limits.spareConnections());
+        acceptor = new BoundedAcceptor(threads, processor, limits.mostAccepted());
         acceptor.setBacklog(limits.backlog());
         acceptor.setReuseAddress(true);
         acceptor.setCloseOnDeactivation(false);
--- a/src/test/java/gorsestack/serve/ServiceTest.java
+++ b/src/test/java/gorsestack/serve/ServiceTest.java
@@ -132,7 +132,7 @@
         AtomicLong read = new AtomicLong();
         OwnerThread owner = new OwnerThread();
         Limits limits = read("\"sockets\": 1024", "\"sockets\": 96").limits();
-        int most = limits.clientConnections() + limits.spareConnections();
+        int most = limits.mostAccepted();
         MinaNetwork network = new MinaNetwork(limits, owner);
         InetSocketAddress address;
         try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
