--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -72,6 +72,11 @@
         long cutAt;
         long learntAt;
         double meanWeight;
+        double does;
+        double crowd;
+        double late;
+        double full;
+        long lookedAt;
         double answered;
         long answeredAt;
     }
@@ -86,6 +91,7 @@
     private final Map<Long, Call> byToken = new HashMap<>();
     private final Chance chance;
     private final double part;
+    private final boolean reported;
     private final double byValue;
     private double bestValue = 1e-9;
     private long tokens;
@@ -120,6 +126,8 @@
         // Where value is told by work it decides, less the more the worst-served product weighs. The cheapest
         // keeps 0.3 of the room: its calls teach too.
         byValue = settings.valueByWork() ? 0.7 * Math.max(0, 1 - 2.5 * settings.worstProductWeight()) : 0;
+        reported = settings.reports().inFlight() >= 0;
+        meanSlo = settings.products().stream().mapToDouble(p -> p.slo() / 1e9).average().orElse(1);
         part = Math.min(1, Math.max(1.0, settings.zones().size()) / settings.instances());
         groups = new Group[settings.zones().size() + 1];
         for (int g = 0; g < groups.length; g++) {
@@ -151,11 +159,19 @@
                 up.release(u);
             }
         }
+        marks.clear();
+        for (int u = 0; reported && u < up.size; u++) {
+            marks.put(mark(u), u);
+        }
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
             g.members = IntStream.range(0, up.size)
                     .filter(u -> groups[up.group[u]] == g && up.entry[u].state() == State.READY).toArray();
             int n = g.members.length;
+            if (reported) {
+                g.members = Arrays.stream(g.members).boxed().sorted((a, b) -> Double.compare(lot(a), lot(b)))
+                        .mapToInt(u -> u).toArray();
+            }
             g.meanWeight = 0;
             g.ill = 0;
             g.warm = 0;
@@ -195,6 +211,18 @@
         return u;
     }
 
+    /** Each balancer has an order of its own. */
+    private double lot(int u) {
+        java.util.zip.CRC32 crc = new java.util.zip.CRC32();
+        crc.update((up.entry[u].id() + "/" + settings.me()).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        return crc.getValue();
+    }
+
+    private double callsLately;
+    private long calledAt;
+    private static final double REACH = 3e9;
+    private static final double CLOSE = 1;
+
     /** A client's call; left is the time until the client gives up, below 0 if untold. */
     public void apiCall(long at, String id, String product, String tenant, long left) {
         now = at;
@@ -211,6 +239,8 @@
         // Two shots unless a repeat could do harm, the second early enough for most to keep the SLO.
         c.most = c.product.repeat() == Repeat.NON_IDEMPOTENT ? 1 : Math.min(2, limit.mostShots());
         c.patience = Math.min((c.end - now) / c.most, (long) (0.6 * c.product.slo()));
+        callsLately = callsLately * Math.exp((calledAt - now) / (REACH * 2)) + 0.5;
+        calledAt = now;
         calls.put(id, c);
         byToken.put(c.token, c);
         settle(c);
@@ -236,6 +266,19 @@
         // An error says nothing of the time an answer takes, and a shot cut short only that it takes longer.
         if (outcome == Outcome.FULFILLED || took > g.lateness * c.product.slo()) {
             learnRoom(g, c.product, took);
+        }
+        // Danger: hundreds of balancers keep a connection each to every upstream.
+        if (reported && up.inFlight[u] == 0 && callsLately < CLOSE * g.members.length) {
+            out.close(up.entry[u].id());
+        }
+        if (reported) {
+            tellPeer();
+        }
+        if (reported && outcome == Outcome.FULFILLED && up.newsAt[u] == now) {
+            double one = took / (double) c.product.slo() * size(u) / (up.held[u] + 1);
+            work += (one - work) / (work == 0 ? 1 : 20);
+        }
+        if (!reported && (outcome == Outcome.FULFILLED || took > g.lateness * c.product.slo())) {
             double share = Math.min(2, took / (double) c.product.slo());
             int a = up.alike[u];
             up.usual[a] += (share - up.usual[a]) / (up.usual[a] == 0 ? 1 : 20);
@@ -252,6 +295,168 @@
         settle(c);
     }
 
+    /** An upstream's load report. Bad ones are passed over. */
+    public void report(long at, String upstream, double[] row) {
+        now = at;
+        Integer u = up.index.get(upstream);
+        Settings.Reports columns = settings.reports();
+        double held = columns.inFlight() < 0 ? -1 : value(row, columns.inFlight());
+        double rate = columns.rate() < 0 ? 0 : value(row, columns.rate());
+        if (u == null || !(held >= 0) || !(rate >= 0)) {
+            return;
+        }
+        // By Little's law a call stays as long as it takes to answer those held; where no rate is told, by size.
+        double stays = columns.rate() < 0 ? work * (held + 1) / size(u) : (held + 0.2) / (rate + 1) / meanSlo;
+        hear(u, up.slowness[u] == 0 ? stays : up.slowness[u] + (stays - up.slowness[u]) * 0.3,
+                up.newsAt[u] == 0 ? held : up.held[u] + (held - up.held[u]) * 0.5, now);
+    }
+
+    private static double value(double[] row, int column) {
+        return column < row.length ? row[column] : -1;
+    }
+
+    private void hear(int u, double stays, double held, long at) {
+        up.held[u] = held;
+        up.since[u] = 0;
+        up.slowness[u] = stays;
+        up.newsAt[u] = at;
+    }
+
+    private static final double QUEUE = 0.5;
+    private double meanSlo;
+    private double work;
+
+    private double size(int u) {
+        return Math.max(0.1, up.entry[u].weight());
+    }
+
+    /** What it can do, relative to others. */
+    private double does(int u) {
+        double load = up.held[u] / size(u);
+        return settings.nominalWeights() ? size(u) : size(u) * Math.max(1, load) / Math.max(1e-3, up.slowness[u]);
+    }
+
+    private void look(Group g) {
+        if (g.lookedAt == now) {
+            return;
+        }
+        g.lookedAt = now;
+        double does = 0;
+        double held = 0;
+        double late = 0;
+        double n = 1e-9;
+        double bare = 0;
+        for (int u : g.members) {
+            if (up.newsAt[u] > 0 && up.slowness[u] > 0 && !up.sick[u]) {
+                double d = does(u);
+                does += d;
+                held += d * up.held[u] / size(u);
+                bare += d * up.slowness[u] / Math.max(1, up.held[u] / size(u));
+                late += d * Math.min(2, up.slowness[u]);
+                n++;
+            }
+        }
+        g.does = Math.max(1e-9, does / n);
+        g.crowd = held / Math.max(1e-9, does);
+        g.full = Math.max(0.35, Math.min(0.9, BARE * bare / Math.max(1e-9, does)));
+        g.late = late / Math.max(1e-9, does);
+    }
+
+    private static final double BARE = 2.5;
+    private static final double SPILL = 2;
+    private static final double AWAY = 0.05;
+
+    /** Group to begin with. */
+    private int lead(int start) {
+        if (!reported) {
+            return start;
+        }
+        double sum = 0;
+        double[] pull = new double[groups.length];
+        for (int i = 0; i < groups.length; i++) {
+            if (groups[i].members.length - groups[i].ill > 0) {
+                look(groups[i]);
+                pull[i] = (i == start ? 1 : AWAY) * (groups[i].members.length - groups[i].ill) * Math.max(1e-6, groups[i].does) / Math.pow(1 + groups[i].crowd, SPILL);
+                sum += pull[i];
+            }
+        }
+        double drawn = chance.next() * sum;
+        for (int i = 0; i < groups.length; i++) {
+            drawn -= pull[i];
+            if (drawn < 0 && pull[i] > 0) {
+                return i;
+            }
+        }
+        return start;
+    }
+
+    private double meanHeld(Group g) {
+        double sum = 0;
+        for (int u : g.members) {
+            sum += up.held[u];
+        }
+        return sum / Math.max(1, g.members.length);
+    }
+
+    private static final int ENTRY = 5;
+    private static final long AGE = 50_000_000;
+    private double owed;
+
+    private void tellPeer() {
+        for (owed += MESSAGES; owed >= 1; owed--) {
+            if (settings.limits().peers() && settings.instances() > 1) {
+                tell();
+            }
+        }
+    }
+
+    private void tell() {
+        int[] fresh = IntStream.range(0, up.size).filter(u -> up.newsAt[u] > 0 && up.entry[u].state() == State.READY)
+                .boxed().sorted((x, y) -> Long.compare(up.newsAt[y], up.newsAt[x])).limit(MOST_TOLD)
+                .mapToInt(u -> u).toArray();
+        byte[] m = new byte[1 + ENTRY * fresh.length];
+        m[0] = 1;
+        int at = 1;
+        for (int u : fresh) {
+            int mark = mark(u);
+            m[at++] = (byte) (mark >> 8);
+            m[at++] = (byte) mark;
+            m[at++] = (byte) Math.max(0, Math.min(255, Math.round(128 + 12 * Math.log(up.slowness[u]))));
+            m[at++] = (byte) Math.min(255, (now - up.newsAt[u]) / AGE);
+            m[at++] = (byte) Math.min(255, Math.round(24 * Math.log1p(up.held[u])));
+        }
+        if (fresh.length > 0) {
+            int peer = (int) (chance.next() * (settings.instances() - 1));
+            out.tell(peer < settings.me() ? peer : peer + 1, m);
+        }
+    }
+
+    private static final int MOST_TOLD = 12;
+
+    private int mark(int u) {
+        java.util.zip.CRC32 crc = new java.util.zip.CRC32();
+        crc.update(up.entry[u].id().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        return (int) crc.getValue() & 0xffff;
+    }
+
+    /** What another balancer tells. */
+    public void peer(long at, byte[] m) {
+        now = at;
+        if (m.length < 1 || m[0] != 1 || m.length % ENTRY != 1 || m.length > 256) {
+            return;
+        }
+        for (int i = 1; i < m.length; i += ENTRY) {
+            Integer u = marks.get((m[i] & 255) << 8 | m[i + 1] & 255);
+            long heard = now - (m[i + 3] & 255) * AGE;
+            if (u != null && heard > up.newsAt[u]) {
+                hear(u, Math.exp(((m[i + 2] & 255) - 128) / 12.0), Math.expm1((m[i + 4] & 255) / 24.0), heard);
+            }
+        }
+    }
+
+    private static final double MESSAGES = 2;
+    private final Map<Integer, Integer> marks = new HashMap<>();
+
     private void judge(int u, Outcome outcome, boolean late) {
         Group g = groups[up.group[u]];
         if (outcome == Outcome.CANCELLED || outcome == Outcome.NOT_SENT || outcome == Outcome.SPOILT) {
@@ -390,6 +595,7 @@
         c.out++;
         c.lookAt = now + c.product.slo() / 2;
         up.inFlight[u]++;
+        up.since[u]++;
         up.remembered[u]++;
         hold(groups[up.group[u]], c.product, 1);
         up.coldTurn[u] = 0;
@@ -450,6 +656,11 @@
      * balancers holds varies more than the sum.
      */
     private boolean hasRoom(Group g, Call c) {
+        if (reported && settings.instances() > 100) {
+            look(g);
+            double worth = 1 - byValue * (1 - c.product.billedValue() / bestValue);
+            return chance.next() < 2 - g.late / (g.full * worth);
+        }
         hold(g, c.product, 0);
         double inTime = Math.min(1, (c.end - now) / (double) c.product.slo());
         double room = g.room * inTime * (1 - byValue * (1 - c.product.billedValue() / bestValue));
@@ -467,7 +678,7 @@
     /** Picks by rotation in the ordered groups; each level gives up a wish, never a rule. -1 if none. */
     private int pick(Call c) {
         int anchor = c.anchor();
-        int start = activeGroup();
+        int start = lead(activeGroup());
         // One in fifty first shots is a trial; never of a call that has this one shot only.
         int sickOne = c.shots == 0 && c.most > 1 && chance.next() < 1 / 50.0 ? trial() : -1;
         if (sickOne >= 0) {
@@ -481,7 +692,8 @@
         for (int level = 0; level < levels; level++) {
             for (int i = 0; i < groups.length; i++) {
                 Group g = groups[(start + i) % groups.length];
-                int n = (level == 0 || settings.tier() == 0) && !hasRoom(g, c) ? 0 : g.members.length;
+                int n = (level == 0 || settings.tier() == 0) && !hasRoom(g, c) ? 0
+                        : level > 0 || !reported ? g.members.length : g.members.length;
                 // Well above the mean in flight: a quarter more, and a half so that few calls are no crowd.
                 double crowd = 1.25 * g.held / Math.max(1, n) + 0.5;
                 boolean any = false;
@@ -517,6 +729,14 @@
     private double speed(int u) {
         Group g = groups[up.group[u]];
         double usual = up.usual[up.alike[u]];
+        if (reported) {
+            look(g);
+            if (up.slowness[u] == 0) {
+                return 1;
+            }
+            double queue = Math.pow((g.crowd + 1) / (up.held[u] / size(u) + 1), QUEUE);
+            return Math.max(0.05, Math.min(3, does(u) / g.does * queue));
+        }
         double base = settings.nominalWeights() ? usual : g.lateness;
         double took = up.slowness[u] == 0 ? usual : up.slowness[u];
         // Danger: a list whose sizes are all nought; a share of none would never come to a turn.
--- a/src/main/java/gorsestack/decision/Figures.java
+++ b/src/main/java/gorsestack/decision/Figures.java
@@ -28,6 +28,11 @@
     int[] straightFailures = new int[16];
     boolean[] sick = new boolean[16];
     double[] slowness = new double[16];
+    /** When its newest load report was heard, by this balancer or by the one that told of it. */
+    long[] newsAt = new long[16];
+    double[] held = new double[16];
+    /** Shots of this balancer's since. */
+    int[] since = new int[16];
     /** When it last answered anything, good or bad. */
     long[] heardAt = new long[16];
     double[] coldTurn = new double[16];
@@ -52,6 +57,9 @@
             straightFailures = Arrays.copyOf(straightFailures, n);
             sick = Arrays.copyOf(sick, n);
             slowness = Arrays.copyOf(slowness, n);
+            newsAt = Arrays.copyOf(newsAt, n);
+            held = Arrays.copyOf(held, n);
+            since = Arrays.copyOf(since, n);
             heardAt = Arrays.copyOf(heardAt, n);
             coldTurn = Arrays.copyOf(coldTurn, n);
             coldAt = Arrays.copyOf(coldAt, n);
@@ -76,6 +84,7 @@
     void release(int u) {
         index.remove(entry[u].id());
         heardAt[u] = 0;
+        newsAt[u] = 0;
         free.add(u);
     }
 }
--- a/src/main/java/gorsestack/decision/Outgoing.java
+++ b/src/main/java/gorsestack/decision/Outgoing.java
@@ -22,6 +22,12 @@
     /** Asks for Choice.wake with this token at that time. */
     void wake(long token, long at);
 
+    /** Sends another balancer, by its index, at most 256 bytes, which may be lost. */
+    void tell(int peer, byte[] message);
+
+    /** Closes idle connections to an upstream. */
+    void close(String upstream);
+
     /** Asks discovery to tell of changes from now on; one piece of news answers. */
     void watch();
 }
--- a/src/main/java/gorsestack/decision/Settings.java
+++ b/src/main/java/gorsestack/decision/Settings.java
@@ -6,6 +6,7 @@
  * What a balancer is told at its start, in nanoseconds where a figure is a time. Only what the module reads.
  */
 public record Settings(
+        int me,
         int instances,
         int tier,
         String zone,
@@ -15,6 +16,7 @@
         Rules rules,
         boolean asksForList,
         boolean nominalWeights,
+        Reports reports,
         boolean valueByWork,
         double worstProductWeight,
         long step) {
@@ -28,7 +30,12 @@
             long clientTimeout, double billedValue) { }
 
     public record Limits(int mostShots, boolean mayCancel, boolean secondCopies, boolean retryAfter,
-            long maxRetryAfter) { }
+            long maxRetryAfter, boolean peers) { }
+
+    /** Where a load report has its calls held, calls answered a second and busy share; -1 where it has none. */
+    public record Reports(int inFlight, int rate, int busy) {
+        public static final Reports NONE = new Reports(-1, -1, -1);
+    }
 
     public record Rules(long askWithin, long cold, double coldShare, double fallMultiple) { }
 }
--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -260,6 +260,15 @@
         owner.at(at, () -> choice.wake(tick(), token));
     }
 
+    /** Nothing carries messages between balancers on sockets yet. */
+    @Override
+    public void tell(int peer, byte[] message) { }
+
+    @Override
+    public void close(String upstream) {
+        pool.drop(upstream);
+    }
+
     @Override
     public void watch() {
         discovery.watch();
--- a/src/main/java/gorsestack/simhost/SettingsReader.java
+++ b/src/main/java/gorsestack/simhost/SettingsReader.java
@@ -5,6 +5,7 @@
 import gorsestack.decision.Settings.Limits;
 import gorsestack.decision.Settings.Product;
 import gorsestack.decision.Settings.Repeat;
+import gorsestack.decision.Settings.Reports;
 import gorsestack.decision.Settings.Rules;
 import gorsestack.decision.Settings.Scope;
 import java.io.IOException;
@@ -31,20 +32,30 @@
         }
         JsonNode limits = info.path("limits");
         JsonNode rules = info.path("rules");
-        return new Settings(info.path("replicasOfMe").asInt(1), info.path("tier").asInt(0),
+        return new Settings(info.path("me").asInt(0), info.path("replicasOfMe").asInt(1), info.path("tier").asInt(0),
                 info.path("az").asText(""), zones, products,
                 new Limits(shots(limits), limits.path("mayCancel").asBoolean(false),
                         limits.path("secondCopies").asBoolean(false),
                         limits.path("retryAfter").asBoolean(false),
-                        nanos(limits, "maxRetryAfter", 0)),
+                        nanos(limits, "maxRetryAfter", 0), limits.path("peers").asBoolean(false)),
                 new Rules(nanos(rules, "askWithin", 0), nanos(rules, "cold", 0),
                         rules.path("coldShare").asDouble(1), rules.path("fallMultiple").asDouble(1)),
                 info.path("membershipMode").asText("").equals("subscribe"),
-                info.path("weightSource").asText("").equals("nominal"),
+                info.path("weightSource").asText("").equals("nominal"), reports(info.path("reporting")),
                 info.path("billedValueBy").asText("").equals("work"),
                 info.path("blend").path("worstClass").asDouble(0), nanos(info, "step", 1));
     }
 
+    /** Reports that come only to probes are none: nothing is probed. */
+    private static Reports reports(JsonNode node) {
+        List<String> columns = new ArrayList<>();
+        for (JsonNode column : node.path("columns")) {
+            columns.add(column.asText());
+        }
+        return !node.path("source").asText("").equals("answers") ? Reports.NONE
+                : new Reports(columns.indexOf("active"), columns.indexOf("rps"), columns.indexOf("cpu"));
+    }
+
     private static int shots(JsonNode limits) {
         int most = limits.path("mostShots").asInt(0);
         return most > 0 ? most : ENDLESS;
--- a/src/main/java/gorsestack/simhost/SimHost.java
+++ b/src/main/java/gorsestack/simhost/SimHost.java
@@ -20,6 +20,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 
@@ -206,12 +207,21 @@
             case "ANSWER" -> {
                 String id = row.text("ref");
                 int shot = (int) row.whole("seqNo");
-                row.textOrNull("upstream");
+                String upstream = row.textOrNull("upstream");
                 Outcome outcome = outcome(row.text("code"));
                 long took = nanos(row.numberOr("costTime", 0));
                 boolean closed = row.flag("closed");
+                double[] report = row.numbersOrNull("gauge");
+                if (upstream != null && report != null) {
+                    guard(instance, () -> choice.report(now, upstream, report));
+                }
                 guard(instance, () -> choice.outcome(now, id, shot, outcome, took, closed));
             }
+            case "PEER_DATA" -> {
+                row.whole("originPeer");
+                byte[] message = bytes(row.textOrNull("bytes"));
+                guard(instance, () -> choice.peer(now, message));
+            }
             case "BEGUN" -> {
                 String id = row.text("ref");
                 row.numberOr("costTime", 0);
@@ -246,6 +256,15 @@
                 : form == 1 ? Upstreams.Form.FULL : Upstreams.Form.CACHED, entries);
     }
 
+    /** What is no hex is an empty message. */
+    private static byte[] bytes(String hex) {
+        try {
+            return hex == null ? new byte[0] : HexFormat.of().parseHex(hex);
+        } catch (IllegalArgumentException e) {
+            return new byte[0];
+        }
+    }
+
     private static Outcome outcome(String code) {
         return switch (code) {
             case "success" -> Outcome.FULFILLED;
--- a/src/main/java/gorsestack/simhost/Writer.java
+++ b/src/main/java/gorsestack/simhost/Writer.java
@@ -4,6 +4,7 @@
 import gorsestack.decision.Outgoing;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.HexFormat;
 
 /** Writes what one balancer does straight into the host's reply under way. */
 final class Writer implements Outgoing {
@@ -49,6 +50,16 @@
         write("TRACK", true);
     }
 
+    @Override
+    public void tell(int peer, byte[] message) {
+        write("BROADCAST_TO", peer, HexFormat.of().formatHex(message));
+    }
+
+    @Override
+    public void close(String upstream) {
+        write("FREE_LINKS", upstream);
+    }
+
     void fault(String line) {
         write("DIE", line);
     }
--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -418,7 +418,8 @@
     void sendsWhereAllNominalSizesAreNought() {
         Settings s = Play.settings(1, 0, 1, false, Scope.ALL);
         Play play = new Play(
-                new Settings(1, 0, "a", s.zones(), s.products(), s.limits(), s.rules(), false, true, true, 0, MS), 1);
+                new Settings(0, 1, 0, "a", s.zones(), s.products(), s.limits(), s.rules(), false, true,
+                        s.reports(), true, 0, MS), 1);
         play.tell(Form.CACHED, new Upstreams.Entry("u0", State.READY, 0, 0, 0, "", "a"));
         assertTimeoutPreemptively(Duration.ofSeconds(5), () -> play.call("c", "once", 1000 * MS));
         assertEquals(1, play.calls.get("c").shots.size());
--- a/src/test/java/gorsestack/decision/Play.java
+++ b/src/test/java/gorsestack/decision/Play.java
@@ -57,11 +57,11 @@
     }
 
     static Settings settings(int instances, int tier, int mostShots, boolean ask, Scope scope) {
-        return new Settings(instances, tier, "a", List.of("a", "b"), List.of(
+        return new Settings(0, instances, tier, "a", List.of("a", "b"), List.of(
                 product("read", Repeat.IDEMPOTENT, Scope.ALL), product("mark", Repeat.DEDUPLICATED, scope),
                 product("once", Repeat.NON_IDEMPOTENT, Scope.ALL)),
-                new Limits(mostShots, true, true, true, 500 * MS),
-                new Rules(10_000 * MS, 20_000 * MS, 0.15, 2.5), ask, false, true, 0, MS);
+                new Limits(mostShots, true, true, true, 500 * MS, false),
+                new Rules(10_000 * MS, 20_000 * MS, 0.15, 2.5), ask, false, Settings.Reports.NONE, true, 0, MS);
     }
 
     static Upstreams.Entry entry(String id, Upstreams.State state, long startedAt, int cell, String zone) {
@@ -215,6 +215,12 @@
         at(Math.max(time, now + settings.step()), () -> choice.wake(now, token));
     }
 
+    @Override
+    public void tell(int peer, byte[] message) { }
+
+    @Override
+    public void close(String upstream) { }
+
     @Override
     public void watch() {
         watches++;
