--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -363,8 +363,8 @@
     }
 
     private static final double BARE = 2.5;
-    private static final double SPILL = 2;
-    private static final double AWAY = 0.05;
+    private static final double SPILL = 3;
+    private static final double AWAY = 0.01;
 
     /** Group to begin with. */
     private int lead(int start) {
