--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -474,7 +474,10 @@
             copies = Math.min(10, copies + 0.03);
             g.answered = answeredNow(g) + 1;
             g.answeredAt = now;
-        } else if (++up.straightFailures[u] >= 3) {
+        } else if (reported && outcome == Outcome.TIMED_OUT) {
+            silent(u);
+        }
+        if (outcome != Outcome.FULFILLED && ++up.straightFailures[u] >= 3) {
             mark(u, true);
         }
     }
@@ -500,8 +503,17 @@
         if (c.open[last] && up.heardAt[c.to[last]] < c.at[last]) {
             mark(c.to[last], true);
         }
+        if (reported && c.open[last] && up.newsAt[c.to[last]] < c.at[last]) {
+            silent(c.to[last]);
+        }
     }
 
+    private void silent(int u) {
+        hear(u, up.slowness[u] + (SILENT - up.slowness[u]) * 0.3, up.held[u], now);
+    }
+
+    private static final double SILENT = 5;
+
     /** A streamed answer has begun: the call is the client's and that shot's from here on. */
     public void started(long at, String id, int shot) {
         now = at;
@@ -735,7 +747,7 @@
                 return 1;
             }
             double queue = Math.pow((g.crowd + 1) / (up.held[u] / size(u) + 1), QUEUE);
-            return Math.max(0.05, Math.min(3, does(u) / g.does * queue));
+            return Math.max(0.02, Math.min(3, does(u) / g.does * queue));
         }
         double base = settings.nominalWeights() ? usual : g.lateness;
         double took = up.slowness[u] == 0 ? usual : up.slowness[u];
