--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -262,7 +262,7 @@
         // Over the last eight or so, or the last two SLOs where one of many balancers sees fewer than that:
         // old answers tell nothing of now, and what is noise to one evens out over many.
         double fresh = Math.max(0.125, Math.min(0.3, (now - up.heardAt[u]) / (2.0 * c.product.slo())));
-        judge(u, outcome, took > Math.max(1, 3 * g.lateness) * c.product.slo());
+        judge(u, outcome, took, took > Math.max(1, 3 * g.lateness) * c.product.slo());
         // An error says nothing of the time an answer takes, and a shot cut short only that it takes longer.
         if (outcome == Outcome.FULFILLED || took > g.lateness * c.product.slo()) {
             learnRoom(g, c.product, took);
@@ -322,7 +322,7 @@
         up.newsAt[u] = at;
     }
 
-    private static final double QUEUE = 0.5;
+    private static final double QUEUE = 1;
     private double meanSlo;
     private double work;
 
@@ -332,8 +332,7 @@
 
     /** What it can do, relative to others. */
     private double does(int u) {
-        double load = up.held[u] / size(u);
-        return settings.nominalWeights() ? size(u) : size(u) * Math.max(1, load) / Math.max(1e-3, up.slowness[u]);
+        return Math.max(size(u), up.held[u] + 1) / Math.max(1e-3, up.slowness[u]);
     }
 
     private void look(Group g) {
@@ -358,11 +357,11 @@
         }
         g.does = Math.max(1e-9, does / n);
         g.crowd = held / Math.max(1e-9, does);
-        g.full = Math.max(0.35, Math.min(0.9, BARE * bare / Math.max(1e-9, does)));
+        g.full = Math.max(0.35, Math.min(0.75, BARE * bare / Math.max(1e-9, does)));
         g.late = late / Math.max(1e-9, does);
     }
 
-    private static final double BARE = 2.5;
+    private static final double BARE = 1.9;
     private static final double SPILL = 3;
     private static final double AWAY = 0.01;
 
@@ -457,7 +456,7 @@
     private static final double MESSAGES = 2;
     private final Map<Integer, Integer> marks = new HashMap<>();
 
-    private void judge(int u, Outcome outcome, boolean late) {
+    private void judge(int u, Outcome outcome, long took, boolean late) {
         Group g = groups[up.group[u]];
         if (outcome == Outcome.CANCELLED || outcome == Outcome.NOT_SENT || outcome == Outcome.SPOILT) {
             return;
@@ -475,7 +474,7 @@
             g.answered = answeredNow(g) + 1;
             g.answeredAt = now;
         } else if (reported && outcome == Outcome.TIMED_OUT) {
-            silent(u);
+            silent(u, SILENT * took / 1e9 / meanSlo);
         }
         if (outcome != Outcome.FULFILLED && ++up.straightFailures[u] >= 3) {
             mark(u, true);
@@ -504,15 +503,16 @@
             mark(c.to[last], true);
         }
         if (reported && c.open[last] && up.newsAt[c.to[last]] < c.at[last]) {
-            silent(c.to[last]);
+            silent(c.to[last], SILENT * (now - c.at[last]) / 1e9 / meanSlo);
+            c.lookAt = now + c.product.slo() / 2;
         }
     }
 
-    private void silent(int u) {
-        hear(u, up.slowness[u] + (SILENT - up.slowness[u]) * 0.3, up.held[u], now);
+    private void silent(int u, double stays) {
+        hear(u, up.slowness[u] + Math.max(0, stays - up.slowness[u]) * 0.3, up.held[u], now);
     }
 
-    private static final double SILENT = 5;
+    private static final double SILENT = 4;
 
     /** A streamed answer has begun: the call is the client's and that shot's from here on. */
     public void started(long at, String id, int shot) {
@@ -670,7 +670,7 @@
     private boolean hasRoom(Group g, Call c) {
         if (reported && settings.instances() > 100) {
             look(g);
-            double worth = 1 - byValue * (1 - c.product.billedValue() / bestValue);
+            double worth = 1 - 0.5 * (1 - c.product.billedValue() / bestValue);
             return chance.next() < 2 - g.late / (g.full * worth);
         }
         hold(g, c.product, 0);
@@ -712,7 +712,7 @@
                 for (int k = 0; k < n || any; k++) {
                     int u = g.members[(g.cursor + k) % n];
                     double speed = speed(u);
-                    if ((level > 0 || up.inFlight[u] <= crowd * speed) && (level > 2 || !up.sick[u])
+                    if ((level > 0 || reported || up.inFlight[u] <= crowd * speed) && (level > 2 || !up.sick[u])
                             && (level > 2 || level > 1 && c.out == 0 || c.shots == 0
                             || Arrays.stream(c.to, 0, c.shots).noneMatch(to -> to == u))
                             && dropsRepeat(c, anchor, u) && hasTurn(u)) {
@@ -746,7 +746,7 @@
             if (up.slowness[u] == 0) {
                 return 1;
             }
-            double queue = Math.pow((g.crowd + 1) / (up.held[u] / size(u) + 1), QUEUE);
+            double queue = Math.pow((g.crowd + 1) / ((up.held[u] + up.since[u]) / size(u) + 1), QUEUE);
             return Math.max(0.02, Math.min(3, does(u) / g.does * queue));
         }
         double base = settings.nominalWeights() ? usual : g.lateness;
