--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -317,6 +317,9 @@
 
     private void hear(int u, double stays, double held, long at) {
         up.held[u] = held;
+        if (up.sick[u] && stays < Math.max(1, 3 * groups[up.group[u]].late)) {
+            mark(u, false);
+        }
         up.since[u] = 0;
         up.slowness[u] = stays;
         up.newsAt[u] = at;
@@ -690,7 +693,7 @@
     /** Picks by rotation in the ordered groups; each level gives up a wish, never a rule. -1 if none. */
     private int pick(Call c) {
         int anchor = c.anchor();
-        int start = lead(activeGroup());
+        int start = reported ? lead(0) : activeGroup();
         // One in fifty first shots is a trial; never of a call that has this one shot only.
         int sickOne = c.shots == 0 && c.most > 1 && chance.next() < 1 / 50.0 ? trial() : -1;
         if (sickOne >= 0) {
