--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -354,17 +354,18 @@
                 does += d;
                 held += d * up.held[u] / size(u);
                 bare += d * up.slowness[u] / Math.max(1, up.held[u] / size(u));
-                late += d * Math.min(2, up.slowness[u]);
+                late += d * Math.min(2, up.slowness[u]) * Math.exp((up.newsAt[u] - now) / (FADE * 1e9 * meanSlo));
                 n++;
             }
         }
         g.does = Math.max(1e-9, does / n);
         g.crowd = held / Math.max(1e-9, does);
-        g.full = Math.max(0.35, Math.min(0.75, BARE * bare / Math.max(1e-9, does)));
+        g.full = Math.max(0.5, Math.min(0.75, BARE * bare / Math.max(1e-9, does)));
         g.late = late / Math.max(1e-9, does);
     }
 
     private static final double BARE = 1.9;
+    private static final double FADE = 8;
     private static final double SPILL = 3;
     private static final double AWAY = 0.01;
 
@@ -650,7 +651,7 @@
         // Danger: work that takes longer everywhere is taken for a queue, and calls are turned away that
         // would be in time. At its least room a group has no queue: what it takes then is the work itself.
         g.bare = g.room > g.least ? Math.min(g.bare, g.lateness) : g.bare + (g.lateness - g.bare) / 20;
-        if (g.lateness > Math.max(0.35, Math.min(0.6, 1.5 * g.bare))) {
+        if (g.lateness > Math.max(0.5, Math.min(0.6, 1.5 * g.bare))) {
             // At most a cut for each time that its effect takes to show.
             if (now - g.cutAt > g.lateness * product.slo()) {
                 g.room = Math.max(g.least, g.room * 0.85);
@@ -671,7 +672,7 @@
      * balancers holds varies more than the sum.
      */
     private boolean hasRoom(Group g, Call c) {
-        if (reported && settings.instances() > 100) {
+        if (reported && g.least < 1) {
             look(g);
             double worth = 1 - 0.5 * (1 - c.product.billedValue() / bestValue);
             return chance.next() < 2 - g.late / (g.full * worth);
