--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -672,7 +672,7 @@
      * balancers holds varies more than the sum.
      */
     private boolean hasRoom(Group g, Call c) {
-        if (reported && g.least < 1) {
+        if (reported && groups[0].least < 1) {
             look(g);
             double worth = 1 - 0.5 * (1 - c.product.billedValue() / bestValue);
             return chance.next() < 2 - g.late / (g.full * worth);
