--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -266,28 +266,26 @@
         // An error says nothing of the time an answer takes, and a shot cut short only that it takes longer.
         if (outcome == Outcome.FULFILLED || took > g.lateness * c.product.slo()) {
             learnRoom(g, c.product, took);
-        }
-        // Danger: hundreds of balancers keep a connection each to every upstream.
-        if (reported && up.inFlight[u] == 0 && callsLately < CLOSE * g.members.length) {
-            out.close(up.entry[u].id());
-        }
-        if (reported) {
-            tellPeer();
-        }
-        if (reported && outcome == Outcome.FULFILLED && up.newsAt[u] == now) {
-            double one = took / (double) c.product.slo() * size(u) / (up.held[u] + 1);
-            work += (one - work) / (work == 0 ? 1 : 20);
-        }
-        if (!reported && (outcome == Outcome.FULFILLED || took > g.lateness * c.product.slo())) {
             double share = Math.min(2, took / (double) c.product.slo());
             int a = up.alike[u];
             up.usual[a] += (share - up.usual[a]) / (up.usual[a] == 0 ? 1 : 20);
             up.slowness[u] = up.slowness[u] == 0 ? up.usual[a] : up.slowness[u];
-            up.slowness[u] += (share - up.slowness[u]) * fresh;
+            up.slowness[u] += reported ? 0 : (share - up.slowness[u]) * fresh;
         } else if (outcome == Outcome.ERROR) {
             // Danger: an upstream that fails half its calls fast, healed by the rest, would be the quickest.
             up.slowness[u] += (2 - up.slowness[u]) * fresh;
         }
+        if (reported) {
+            if (outcome == Outcome.FULFILLED && up.newsAt[u] == now) {
+                double one = took / (double) c.product.slo() * size(u) / (up.held[u] + 1);
+                work += (one - work) / (work == 0 ? 1 : 20);
+            }
+            tellPeer();
+            // Danger: hundreds of balancers keep a connection each to every upstream.
+            if (up.inFlight[u] == 0 && callsLately < CLOSE * g.members.length) {
+                out.close(up.entry[u].id());
+            }
+        }
         if (outcome == Outcome.FULFILLED && !c.ended) {
             finish(c, -1, () -> out.fulfilled(id, shot));
         }
@@ -651,7 +649,7 @@
         // Danger: work that takes longer everywhere is taken for a queue, and calls are turned away that
         // would be in time. At its least room a group has no queue: what it takes then is the work itself.
         g.bare = g.room > g.least ? Math.min(g.bare, g.lateness) : g.bare + (g.lateness - g.bare) / 20;
-        if (g.lateness > Math.max(0.5, Math.min(0.6, 1.5 * g.bare))) {
+        if (g.lateness > Math.max(0.35, Math.min(0.6, 1.5 * g.bare))) {
             // At most a cut for each time that its effect takes to show.
             if (now - g.cutAt > g.lateness * product.slo()) {
                 g.room = Math.max(g.least, g.room * 0.85);
