--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -23,6 +23,8 @@
  */
 public final class Choice {
 
+    /** A balancer's calls are counted over about so long. */
+    private static final double AGAIN = 6e9;
     /** Whatever the settings allow: eight shots proven not run mean that nothing is there. */
     private static final int MOST = 8;
 
@@ -92,6 +94,10 @@
     private final Chance chance;
     private final double part;
     private final boolean reported;
+    private final double meanSlo;
+    private double work;
+    private double callsLately;
+    private long calledAt;
     private final double byValue;
     private double bestValue = 1e-9;
     private long tokens;
@@ -127,7 +133,7 @@
         // keeps 0.3 of the room: its calls teach too.
         byValue = settings.valueByWork() ? 0.7 * Math.max(0, 1 - 2.5 * settings.worstProductWeight()) : 0;
         reported = settings.reports().inFlight() >= 0;
-        meanSlo = settings.products().stream().mapToDouble(p -> p.slo() / 1e9).average().orElse(1);
+        meanSlo = settings.products().stream().mapToLong(Product::slo).average().orElse(1e9);
         part = Math.min(1, Math.max(1.0, settings.zones().size()) / settings.instances());
         groups = new Group[settings.zones().size() + 1];
         for (int g = 0; g < groups.length; g++) {
@@ -159,19 +165,11 @@
                 up.release(u);
             }
         }
-        marks.clear();
-        for (int u = 0; reported && u < up.size; u++) {
-            marks.put(mark(u), u);
-        }
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
             g.members = IntStream.range(0, up.size)
                     .filter(u -> groups[up.group[u]] == g && up.entry[u].state() == State.READY).toArray();
             int n = g.members.length;
-            if (reported) {
-                g.members = Arrays.stream(g.members).boxed().sorted((a, b) -> Double.compare(lot(a), lot(b)))
-                        .mapToInt(u -> u).toArray();
-            }
             g.meanWeight = 0;
             g.ill = 0;
             g.warm = 0;
@@ -211,18 +209,6 @@
         return u;
     }
 
-    /** Each balancer has an order of its own. */
-    private double lot(int u) {
-        java.util.zip.CRC32 crc = new java.util.zip.CRC32();
-        crc.update((up.entry[u].id() + "/" + settings.me()).getBytes(java.nio.charset.StandardCharsets.UTF_8));
-        return crc.getValue();
-    }
-
-    private double callsLately;
-    private long calledAt;
-    private static final double REACH = 3e9;
-    private static final double CLOSE = 1;
-
     /** A client's call; left is the time until the client gives up, below 0 if untold. */
     public void apiCall(long at, String id, String product, String tenant, long left) {
         now = at;
@@ -239,7 +225,11 @@
         // Two shots unless a repeat could do harm, the second early enough for most to keep the SLO.
         c.most = c.product.repeat() == Repeat.NON_IDEMPOTENT ? 1 : Math.min(2, limit.mostShots());
         c.patience = Math.min((c.end - now) / c.most, (long) (0.6 * c.product.slo()));
-        callsLately = callsLately * Math.exp((calledAt - now) / (REACH * 2)) + 0.5;
+        // Danger: a late answer is worth nothing, and holds up calls that could be in time. Nobody asks again.
+        if (c.product.lateBilledValue() <= 0 && c.product.repeat() == Repeat.NON_IDEMPOTENT) {
+            c.end = Math.min(c.end, now + c.product.slo());
+        }
+        callsLately = callsLately * Math.exp((calledAt - now) / AGAIN) + 1;
         calledAt = now;
         calls.put(id, c);
         byToken.put(c.token, c);
@@ -276,15 +266,13 @@
             up.slowness[u] += (2 - up.slowness[u]) * fresh;
         }
         if (reported) {
-            if (outcome == Outcome.FULFILLED && up.newsAt[u] == now) {
-                double one = took / (double) c.product.slo() * size(u) / (up.held[u] + 1);
-                work += (one - work) / (work == 0 ? 1 : 20);
-            }
-            tellPeer();
-            // Danger: hundreds of balancers keep a connection each to every upstream.
-            if (up.inFlight[u] == 0 && callsLately < CLOSE * g.members.length) {
-                out.close(up.entry[u].id());
-            }
+            learnWork(g, u, c.product, outcome == Outcome.FULFILLED ? took : 0);
+            tellPeers();
+        }
+        // Danger: hundreds of balancers keep a connection each to every upstream, and a full table takes a third
+        // of its capacity. Where a part of a room is under a call, one not used again in 3 s or so is closed.
+        if (groups[0].least < 1 && up.inFlight[u] == 0 && callsLately < 2 * g.members.length) {
+            out.close(up.entry[u].id());
         }
         if (outcome == Outcome.FULFILLED && !c.ended) {
             finish(c, -1, () -> out.fulfilled(id, shot));
@@ -293,171 +281,131 @@
         settle(c);
     }
 
-    /** An upstream's load report. Bad ones are passed over. */
+    /** An upstream's load report; it comes before the answer that it came with. Bad ones are passed over. */
     public void report(long at, String upstream, double[] row) {
         now = at;
-        Integer u = up.index.get(upstream);
-        Settings.Reports columns = settings.reports();
-        double held = columns.inFlight() < 0 ? -1 : value(row, columns.inFlight());
-        double rate = columns.rate() < 0 ? 0 : value(row, columns.rate());
-        if (u == null || !(held >= 0) || !(rate >= 0)) {
+        int u = up.index.getOrDefault(upstream, -1);
+        double held = settings.reports().value(row, settings.reports().inFlight());
+        double rate = settings.reports().value(row, settings.reports().rate());
+        if (u < 0 || held < 0 || rate < 0 && settings.reports().rate() >= 0) {
             return;
         }
-        // By Little's law a call stays as long as it takes to answer those held; where no rate is told, by size.
-        double stays = columns.rate() < 0 ? work * (held + 1) / size(u) : (held + 0.2) / (rate + 1) / meanSlo;
+        // By Little's law a call stays as long as it takes to answer those held; where no rate is told, as long
+        // as the work of those held and its own takes. A report is noisy: the last three or so count.
+        double stays = rate < 0 ? work * (held + 1) / size(u) : (held + 0.2) / (rate + 1) / (meanSlo / 1e9);
         hear(u, up.slowness[u] == 0 ? stays : up.slowness[u] + (stays - up.slowness[u]) * 0.3,
                 up.newsAt[u] == 0 ? held : up.held[u] + (held - up.held[u]) * 0.5, now);
     }
 
-    private static double value(double[] row, int column) {
-        return column < row.length ? row[column] : -1;
+    /** A message of another balancer's. The newest news of an upstream stands, whoever heard it. */
+    public void peer(long at, byte[] message) {
+        now = at;
+        News.read(message, now, (mark, stays, held, heard) -> {
+            int u = up.marked(mark);
+            if (reported && u >= 0 && heard > Math.max(up.newsAt[u], up.entry[u].startedAt())) {
+                hear(u, stays, held, heard);
+            }
+        });
     }
 
     private void hear(int u, double stays, double held, long at) {
-        up.held[u] = held;
         if (up.sick[u] && stays < Math.max(1, 3 * groups[up.group[u]].late)) {
             mark(u, false);
         }
+        up.held[u] = held;
         up.since[u] = 0;
         up.slowness[u] = stays;
         up.newsAt[u] = at;
     }
 
-    private static final double QUEUE = 1;
-    private double meanSlo;
-    private double work;
+    /**
+     * Danger: what answers nothing sends no report, and the last good one stands. Silence counts as a stay of
+     * four times what it has lasted.
+     */
+    private void silent(int u, long lasted) {
+        double stays = 4 * lasted / meanSlo;
+        hear(u, up.slowness[u] + Math.max(0, stays - up.slowness[u]) * 0.3, up.held[u], now);
+    }
+
+    /** What a call of its own takes at size one, over twenty: where no rate is told, stays go by it. */
+    private void learnWork(Group g, int u, Product product, long took) {
+        if (took > 0 && up.newsAt[u] == now) {
+            double one = took / (double) product.slo() * size(u) / (up.held[u] + 1);
+            work += (one - work) / (work == 0 ? 1 : 20);
+        }
+    }
+
+    /**
+     * Danger: one of a thousand balancers meets an upstream twice a minute. Two messages an answer, to any peer:
+     * news goes round in seconds, for half a hundredth of the result; to all it would cost hundreds of times that.
+     */
+    private void tellPeers() {
+        int[] fresh = IntStream.range(0, up.size).filter(u -> up.newsAt[u] > 0 && up.entry[u].state() == State.READY)
+                .boxed().sorted((a, b) -> Long.compare(up.newsAt[b], up.newsAt[a])).limit(News.MOST)
+                .mapToInt(u -> u).toArray();
+        for (int i = 0; i < 2 && limit.peers() && settings.instances() > 1 && fresh.length > 0; i++) {
+            int peer = (int) (chance.next() * (settings.instances() - 1));
+            out.tell(peer < settings.me() ? peer : peer + 1, News.write(up, fresh, now));
+        }
+    }
 
     private double size(int u) {
         return Math.max(0.1, up.entry[u].weight());
     }
 
-    /** What it can do, relative to others. */
+    /** What an upstream can do: the calls it works on, over their stay. Its queue lengthens both alike. */
     private double does(int u) {
         return Math.max(size(u), up.held[u] + 1) / Math.max(1e-3, up.slowness[u]);
     }
 
+    /** Sums up what is reported of a group, once for all that happens at a time. */
     private void look(Group g) {
         if (g.lookedAt == now) {
             return;
         }
         g.lookedAt = now;
-        double does = 0;
-        double held = 0;
-        double late = 0;
+        double does = 1e-9;
         double n = 1e-9;
+        double crowd = 0;
+        double late = 0;
         double bare = 0;
         for (int u : g.members) {
             if (up.newsAt[u] > 0 && up.slowness[u] > 0 && !up.sick[u]) {
-                double d = does(u);
-                does += d;
-                held += d * up.held[u] / size(u);
-                bare += d * up.slowness[u] / Math.max(1, up.held[u] / size(u));
-                late += d * Math.min(2, up.slowness[u]) * Math.exp((up.newsAt[u] - now) / (FADE * 1e9 * meanSlo));
+                double can = does(u);
+                double load = up.held[u] / size(u);
                 n++;
+                does += can;
+                crowd += can * load;
+                bare += can * up.slowness[u] / Math.max(1, load);
+                // Danger: all is turned away, nothing is sent, and no news tells that it could be: news fades.
+                late += can * Math.min(2, up.slowness[u]) * Math.exp((up.newsAt[u] - now) / (8 * meanSlo));
             }
         }
-        g.does = Math.max(1e-9, does / n);
-        g.crowd = held / Math.max(1e-9, does);
-        g.full = Math.max(0.5, Math.min(0.75, BARE * bare / Math.max(1e-9, does)));
-        g.late = late / Math.max(1e-9, does);
+        g.does = does / n;
+        g.crowd = crowd / does;
+        g.late = late / does;
+        // Twice the work itself, as far as that is well within the SLO: lower turns away what would be in time.
+        g.full = Math.max(0.5, Math.min(0.75, 1.9 * bare / does));
     }
 
-    private static final double BARE = 1.9;
-    private static final double FADE = 8;
-    private static final double SPILL = 3;
-    private static final double AWAY = 0.01;
-
-    /** Group to begin with. */
-    private int lead(int start) {
-        if (!reported) {
-            return start;
-        }
+    /**
+     * With reports the first group is drawn: by what its upstreams can do over the third power of their load, others
+     * than the own at a hundredth, as crossing has its price. Danger: where all that is past a mark goes to the
+     * least loaded group, seconds late, groups swing.
+     */
+    private int lead() {
+        double[] upTo = new double[groups.length];
         double sum = 0;
-        double[] pull = new double[groups.length];
         for (int i = 0; i < groups.length; i++) {
-            if (groups[i].members.length - groups[i].ill > 0) {
-                look(groups[i]);
-                pull[i] = (i == start ? 1 : AWAY) * (groups[i].members.length - groups[i].ill) * Math.max(1e-6, groups[i].does) / Math.pow(1 + groups[i].crowd, SPILL);
-                sum += pull[i];
-            }
+            Group g = groups[i];
+            look(g);
+            sum += (i == 0 ? 1 : 0.01) * (g.members.length - g.ill) * g.does / Math.pow(1 + g.crowd, 3);
+            upTo[i] = sum;
         }
         double drawn = chance.next() * sum;
-        for (int i = 0; i < groups.length; i++) {
-            drawn -= pull[i];
-            if (drawn < 0 && pull[i] > 0) {
-                return i;
-            }
-        }
-        return start;
-    }
-
-    private double meanHeld(Group g) {
-        double sum = 0;
-        for (int u : g.members) {
-            sum += up.held[u];
-        }
-        return sum / Math.max(1, g.members.length);
-    }
-
-    private static final int ENTRY = 5;
-    private static final long AGE = 50_000_000;
-    private double owed;
-
-    private void tellPeer() {
-        for (owed += MESSAGES; owed >= 1; owed--) {
-            if (settings.limits().peers() && settings.instances() > 1) {
-                tell();
-            }
-        }
+        return Math.max(0, IntStream.range(0, groups.length).filter(i -> drawn < upTo[i]).findFirst().orElse(0));
     }
 
-    private void tell() {
-        int[] fresh = IntStream.range(0, up.size).filter(u -> up.newsAt[u] > 0 && up.entry[u].state() == State.READY)
-                .boxed().sorted((x, y) -> Long.compare(up.newsAt[y], up.newsAt[x])).limit(MOST_TOLD)
-                .mapToInt(u -> u).toArray();
-        byte[] m = new byte[1 + ENTRY * fresh.length];
-        m[0] = 1;
-        int at = 1;
-        for (int u : fresh) {
-            int mark = mark(u);
-            m[at++] = (byte) (mark >> 8);
-            m[at++] = (byte) mark;
-            m[at++] = (byte) Math.max(0, Math.min(255, Math.round(128 + 12 * Math.log(up.slowness[u]))));
-            m[at++] = (byte) Math.min(255, (now - up.newsAt[u]) / AGE);
-            m[at++] = (byte) Math.min(255, Math.round(24 * Math.log1p(up.held[u])));
-        }
-        if (fresh.length > 0) {
-            int peer = (int) (chance.next() * (settings.instances() - 1));
-            out.tell(peer < settings.me() ? peer : peer + 1, m);
-        }
-    }
-
-    private static final int MOST_TOLD = 12;
-
-    private int mark(int u) {
-        java.util.zip.CRC32 crc = new java.util.zip.CRC32();
-        crc.update(up.entry[u].id().getBytes(java.nio.charset.StandardCharsets.UTF_8));
-        return (int) crc.getValue() & 0xffff;
-    }
-
-    /** What another balancer tells. */
-    public void peer(long at, byte[] m) {
-        now = at;
-        if (m.length < 1 || m[0] != 1 || m.length % ENTRY != 1 || m.length > 256) {
-            return;
-        }
-        for (int i = 1; i < m.length; i += ENTRY) {
-            Integer u = marks.get((m[i] & 255) << 8 | m[i + 1] & 255);
-            long heard = now - (m[i + 3] & 255) * AGE;
-            if (u != null && heard > up.newsAt[u]) {
-                hear(u, Math.exp(((m[i + 2] & 255) - 128) / 12.0), Math.expm1((m[i + 4] & 255) / 24.0), heard);
-            }
-        }
-    }
-
-    private static final double MESSAGES = 2;
-    private final Map<Integer, Integer> marks = new HashMap<>();
-
     private void judge(int u, Outcome outcome, long took, boolean late) {
         Group g = groups[up.group[u]];
         if (outcome == Outcome.CANCELLED || outcome == Outcome.NOT_SENT || outcome == Outcome.SPOILT) {
@@ -476,7 +424,7 @@
             g.answered = answeredNow(g) + 1;
             g.answeredAt = now;
         } else if (reported && outcome == Outcome.TIMED_OUT) {
-            silent(u, SILENT * took / 1e9 / meanSlo);
+            silent(u, took);
         }
         if (outcome != Outcome.FULFILLED && ++up.straightFailures[u] >= 3) {
             mark(u, true);
@@ -505,17 +453,11 @@
             mark(c.to[last], true);
         }
         if (reported && c.open[last] && up.newsAt[c.to[last]] < c.at[last]) {
-            silent(c.to[last], SILENT * (now - c.at[last]) / 1e9 / meanSlo);
+            silent(c.to[last], now - c.at[last]);
             c.lookAt = now + c.product.slo() / 2;
         }
     }
 
-    private void silent(int u, double stays) {
-        hear(u, up.slowness[u] + Math.max(0, stays - up.slowness[u]) * 0.3, up.held[u], now);
-    }
-
-    private static final double SILENT = 4;
-
     /** A streamed answer has begun: the call is the client's and that shot's from here on. */
     public void started(long at, String id, int shot) {
         now = at;
@@ -692,7 +634,7 @@
     /** Picks by rotation in the ordered groups; each level gives up a wish, never a rule. -1 if none. */
     private int pick(Call c) {
         int anchor = c.anchor();
-        int start = reported ? lead(0) : activeGroup();
+        int start = reported ? lead() : activeGroup();
         // One in fifty first shots is a trial; never of a call that has this one shot only.
         int sickOne = c.shots == 0 && c.most > 1 && chance.next() < 1 / 50.0 ? trial() : -1;
         if (sickOne >= 0) {
@@ -745,11 +687,9 @@
         double usual = up.usual[up.alike[u]];
         if (reported) {
             look(g);
-            if (up.slowness[u] == 0) {
-                return 1;
-            }
-            double queue = Math.pow((g.crowd + 1) / ((up.held[u] + up.since[u]) / size(u) + 1), QUEUE);
-            return Math.max(0.02, Math.min(3, does(u) / g.does * queue));
+            double load = (up.held[u] + up.since[u]) / size(u);
+            return up.slowness[u] == 0 ? 1
+                    : Math.max(0.02, Math.min(3, does(u) / g.does * (g.crowd + 1) / (load + 1)));
         }
         double base = settings.nominalWeights() ? usual : g.lateness;
         double took = up.slowness[u] == 0 ? usual : up.slowness[u];
--- a/src/main/java/gorsestack/decision/Figures.java
+++ b/src/main/java/gorsestack/decision/Figures.java
@@ -1,10 +1,12 @@
 package gorsestack.decision;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.zip.CRC32;
 
 /**
  * What one balancer knows of each upstream: parallel arrays under an index that an id keeps until it is gone and
@@ -28,11 +30,15 @@
     int[] straightFailures = new int[16];
     boolean[] sick = new boolean[16];
     double[] slowness = new double[16];
-    /** When its newest load report was heard, by this balancer or by the one that told of it. */
+    /** When its newest load report was heard, by this balancer or by the one that told of it; 0 if never. */
     long[] newsAt = new long[16];
+    /** Calls that it holds, of all balancers, as reported. */
     double[] held = new double[16];
-    /** Shots of this balancer's since. */
+    /** Shots of this balancer's since then. */
     int[] since = new int[16];
+    /** What stands for its id in balancers' messages. */
+    int[] mark = new int[16];
+    private final Map<Integer, Integer> marked = new HashMap<>();
     /** When it last answered anything, good or bad. */
     long[] heardAt = new long[16];
     double[] coldTurn = new double[16];
@@ -60,10 +66,16 @@
             newsAt = Arrays.copyOf(newsAt, n);
             held = Arrays.copyOf(held, n);
             since = Arrays.copyOf(since, n);
+            mark = Arrays.copyOf(mark, n);
             heardAt = Arrays.copyOf(heardAt, n);
             coldTurn = Arrays.copyOf(coldTurn, n);
             coldAt = Arrays.copyOf(coldAt, n);
         }
+        CRC32 crc = new CRC32();
+        crc.update(id.getBytes(StandardCharsets.UTF_8));
+        mark[u] = (int) crc.getValue() & 0xffffff;
+        // Danger: two ids of one mark; news of one would be taken for the other's.
+        marked.merge(mark[u], u, (one, other) -> -1);
         return u;
     }
 
@@ -74,6 +86,11 @@
         return k;
     }
 
+    /** The upstream that a mark stands for, -1 if none or more than one. */
+    int marked(int mark) {
+        return marked.getOrDefault(mark, -1);
+    }
+
     /** Whether nothing needs this index any more. */
     boolean over(int u) {
         return entry[u].state() == Upstreams.State.GONE && remembered[u] == 0
@@ -83,6 +100,7 @@
     /** Lets another id have the index; nothing known of the old one passes on. */
     void release(int u) {
         index.remove(entry[u].id());
+        marked.remove(mark[u], u);
         heardAt[u] = 0;
         newsAt[u] = 0;
         free.add(u);
--- a/src/main/java/gorsestack/decision/Settings.java
+++ b/src/main/java/gorsestack/decision/Settings.java
@@ -27,14 +27,20 @@
     public enum Scope { ALL, ZONE, CELL }
 
     public record Product(String name, Repeat repeat, Scope scope, long repeatWindow, long slo,
-            long clientTimeout, double billedValue) { }
+            long clientTimeout, double billedValue, double lateBilledValue) { }
 
     public record Limits(int mostShots, boolean mayCancel, boolean secondCopies, boolean retryAfter,
             long maxRetryAfter, boolean peers) { }
 
-    /** Where a load report has its calls held, calls answered a second and busy share; -1 where it has none. */
-    public record Reports(int inFlight, int rate, int busy) {
-        public static final Reports NONE = new Reports(-1, -1, -1);
+    /** Where a load report has the calls held and the calls answered a second; -1 where it has them not. */
+    public record Reports(int inFlight, int rate) {
+        public static final Reports NONE = new Reports(-1, -1);
+
+        /** The value in a row, -1 where it is not there or no number that can be. */
+        double value(double[] row, int column) {
+            boolean there = row != null && column >= 0 && column < row.length;
+            return there && row[column] >= 0 && row[column] < 1e9 ? row[column] : -1;
+        }
     }
 
     public record Rules(long askWithin, long cold, double coldShare, double fallMultiple) { }
--- a/src/main/java/gorsestack/simhost/SettingsReader.java
+++ b/src/main/java/gorsestack/simhost/SettingsReader.java
@@ -53,7 +53,7 @@
             columns.add(column.asText());
         }
         return !node.path("source").asText("").equals("answers") ? Reports.NONE
-                : new Reports(columns.indexOf("active"), columns.indexOf("rps"), columns.indexOf("cpu"));
+                : new Reports(columns.indexOf("active"), columns.indexOf("rps"));
     }
 
     private static int shots(JsonNode limits) {
@@ -83,7 +83,7 @@
         };
         return new Product(name, repeat, scope, nanos(node, "repeatWindow", 0),
                 Math.min(timeout, nanos(node, "latencySlo", SimHost.millis(timeout))), timeout,
-                node.path("billedValue").asDouble(1));
+                node.path("billedValue").asDouble(1), node.path("lateBilledValue").asDouble(1));
     }
 
     private static long nanos(JsonNode node, String key, double absentMs) {
--- a/src/test/java/gorsestack/decision/Play.java
+++ b/src/test/java/gorsestack/decision/Play.java
@@ -53,7 +53,7 @@
 
     static Product product(String name, Repeat repeat, Scope scope) {
         return new Product(name, repeat, scope, 300 * MS, 400 * MS, 1000 * MS,
-                repeat == Repeat.NON_IDEMPOTENT ? 3 : 1);
+                repeat == Repeat.NON_IDEMPOTENT ? 3 : 1, 0.5);
     }
 
     static Settings settings(int instances, int tier, int mostShots, boolean ask, Scope scope) {
