--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -8,6 +8,7 @@
 import gorsestack.decision.Upstreams.State;
 import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -168,7 +169,9 @@
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
             g.members = IntStream.range(0, up.size)
-                    .filter(u -> groups[up.group[u]] == g && up.entry[u].state() == State.READY).toArray();
+                    .filter(u -> groups[up.group[u]] == g && up.entry[u].state() == State.READY).boxed()
+                    .sorted(Comparator.comparingInt(u -> reported ? up.mark[u] * (2 * settings.me() + 1) & 0xffffff : 0))
+                    .mapToInt(u -> u).toArray();
             int n = g.members.length;
             g.meanWeight = 0;
             g.ill = 0;
