--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -23,67 +23,6 @@
  * is gone through in order, again and again, until none fires; see docs/design.md.
  */
 public final class Choice {
-
-    /** A balancer's calls are counted over about so long. */
-    private static final double AGAIN = 6e9;
-    /** Whatever the settings allow: eight shots proven not run mean that nothing is there. */
-    private static final int MOST = 8;
-
-    private static final class Call {
-        String id;
-        long token;
-        Product product;
-        long end;
-        int most;
-        long patience;
-        long next;
-        long lookAt = Long.MAX_VALUE;
-        long wakeAt = Long.MAX_VALUE;
-        int shots;
-        int out;
-        boolean ended;
-        final int[] to = new int[MOST];
-        final long[] at = new long[MOST];
-        final boolean[] open = new boolean[MOST];
-        final boolean[] neverRan = new boolean[MOST];
-
-        /** The first shot that may have run or is out, -1 if there is none. */
-        int anchor() {
-            for (int i = 0; i < shots; i++) {
-                if (!neverRan[i]) {
-                    return i;
-                }
-            }
-            return -1;
-        }
-    }
-
-    private static final class Group {
-        int[] members = {};
-        int cursor;
-        int held;
-        double heldLately;
-        long heldAt;
-        int ill;
-        int warm;
-        long backAt;
-        long illAt;
-        double room;
-        double least;
-        double lateness;
-        double bare;
-        long cutAt;
-        long learntAt;
-        double meanWeight;
-        double does;
-        double crowd;
-        double late;
-        double full;
-        long lookedAt;
-        double answered;
-        long answeredAt;
-    }
-
     private record Rule(Predicate<Call> when, Consumer<Call> then) { }
 
     private final Settings settings;
@@ -97,6 +36,7 @@
     private final boolean reported;
     private final double meanSlo;
     private double work;
+    /** This balancer's calls of the last six seconds or so. */
     private double callsLately;
     private long calledAt;
     private final double byValue;
@@ -170,7 +110,7 @@
             Group g = groups[i];
             g.members = IntStream.range(0, up.size)
                     .filter(u -> groups[up.group[u]] == g && up.entry[u].state() == State.READY).boxed()
-                    .sorted(Comparator.comparingInt(u -> reported ? up.mark[u] * (2 * settings.me() + 1) & 0xffffff : 0))
+                    .sorted(Comparator.comparingInt(u -> reported ? up.lot(u, settings.me()) : 0))
                     .mapToInt(u -> u).toArray();
             int n = g.members.length;
             g.meanWeight = 0;
@@ -205,6 +145,7 @@
             up.straightFailures[u] = 0;
             mark(u, false);
             up.slowness[u] = 0;
+            up.newsAt[u] = 0;
             // Rule 4: a burst at the start could spend the whole budget; it starts somewhere in its turn.
             up.coldTurn[u] = chance.next();
             up.coldAt[u] = now;
@@ -228,11 +169,11 @@
         // Two shots unless a repeat could do harm, the second early enough for most to keep the SLO.
         c.most = c.product.repeat() == Repeat.NON_IDEMPOTENT ? 1 : Math.min(2, limit.mostShots());
         c.patience = Math.min((c.end - now) / c.most, (long) (0.6 * c.product.slo()));
-        // Danger: a late answer is worth nothing, and holds up calls that could be in time. Nobody asks again.
+        // Danger: a late answer worth nothing holds up calls that could be in time. Nobody asks this again.
         if (c.product.lateBilledValue() <= 0 && c.product.repeat() == Repeat.NON_IDEMPOTENT) {
             c.end = Math.min(c.end, now + c.product.slo());
         }
-        callsLately = callsLately * Math.exp((calledAt - now) / AGAIN) + 1;
+        callsLately = callsLately * Math.exp((calledAt - now) / 6e9) + 1;
         calledAt = now;
         calls.put(id, c);
         byToken.put(c.token, c);
@@ -269,11 +210,15 @@
             up.slowness[u] += (2 - up.slowness[u]) * fresh;
         }
         if (reported) {
-            learnWork(g, u, c.product, outcome == Outcome.FULFILLED ? took : 0);
+            // What a call takes at size one, over twenty: with no rate told, stays go by it.
+            if (outcome == Outcome.FULFILLED && up.newsAt[u] == now) {
+                double one = took / (double) c.product.slo() * size(u) / (up.held[u] + 1);
+                work += (one - work) / (work == 0 ? 1 : 20);
+            }
             tellPeers();
         }
-        // Danger: hundreds of balancers keep a connection each to every upstream, and a full table takes a third
-        // of its capacity. Where a part of a room is under a call, one not used again in 3 s or so is closed.
+        // Danger: hundreds of balancers' connections fill an upstream's table, which costs it a third. Where a
+        // part of a room is under a call, one that is not used again in 3 s or so is closed.
         if (groups[0].least < 1 && up.inFlight[u] == 0 && callsLately < 2 * g.members.length) {
             out.close(up.entry[u].id());
         }
@@ -288,13 +233,13 @@
     public void report(long at, String upstream, double[] row) {
         now = at;
         int u = up.index.getOrDefault(upstream, -1);
-        double held = settings.reports().value(row, settings.reports().inFlight());
-        double rate = settings.reports().value(row, settings.reports().rate());
-        if (u < 0 || held < 0 || rate < 0 && settings.reports().rate() >= 0) {
+        double held = settings.reports().held(row);
+        double rate = settings.reports().rate(row);
+        if (u < 0 || held < 0 || Double.isNaN(rate)) {
             return;
         }
-        // By Little's law a call stays as long as it takes to answer those held; where no rate is told, as long
-        // as the work of those held and its own takes. A report is noisy: the last three or so count.
+        // By Little's law a call stays as long as answering those held takes; with no rate told, as long as
+        // their work and its own. Reports are noisy: the last three or so count.
         double stays = rate < 0 ? work * (held + 1) / size(u) : (held + 0.2) / (rate + 1) / (meanSlo / 1e9);
         hear(u, up.slowness[u] == 0 ? stays : up.slowness[u] + (stays - up.slowness[u]) * 0.3,
                 up.newsAt[u] == 0 ? held : up.held[u] + (held - up.held[u]) * 0.5, now);
@@ -312,39 +257,25 @@
     }
 
     private void hear(int u, double stays, double held, long at) {
-        if (up.sick[u] && stays < Math.max(1, 3 * groups[up.group[u]].late)) {
-            mark(u, false);
-        }
+        mark(u, up.sick[u] && stays >= Math.max(1, 3 * groups[up.group[u]].late));
         up.held[u] = held;
         up.since[u] = 0;
         up.slowness[u] = stays;
         up.newsAt[u] = at;
     }
 
-    /**
-     * Danger: what answers nothing sends no report, and the last good one stands. Silence counts as a stay of
-     * four times what it has lasted.
-     */
+    /** Danger: what answers nothing reports nothing. Silence counts as a stay of four times its length. */
     private void silent(int u, long lasted) {
         double stays = 4 * lasted / meanSlo;
         hear(u, up.slowness[u] + Math.max(0, stays - up.slowness[u]) * 0.3, up.held[u], now);
     }
 
-    /** What a call of its own takes at size one, over twenty: where no rate is told, stays go by it. */
-    private void learnWork(Group g, int u, Product product, long took) {
-        if (took > 0 && up.newsAt[u] == now) {
-            double one = took / (double) product.slo() * size(u) / (up.held[u] + 1);
-            work += (one - work) / (work == 0 ? 1 : 20);
-        }
-    }
-
-    /**
-     * Danger: one of a thousand balancers meets an upstream twice a minute. Two messages an answer, to any peer:
-     * news goes round in seconds, for half a hundredth of the result; to all it would cost hundreds of times that.
-     */
+    /** Danger: one of a thousand meets an upstream twice a minute. Two messages an answer, to any peers, go
+     * round in seconds for a hundredth of the result; to all they would cost hundreds of times that. */
     private void tellPeers() {
-        int[] fresh = IntStream.range(0, up.size).filter(u -> up.newsAt[u] > 0 && up.entry[u].state() == State.READY)
-                .boxed().sorted((a, b) -> Long.compare(up.newsAt[b], up.newsAt[a])).limit(News.MOST)
+        int[] fresh = IntStream.range(0, up.size).boxed()
+                .filter(u -> up.newsAt[u] > 0 && up.entry[u].state() == State.READY)
+                .sorted((a, b) -> Long.compare(up.newsAt[b], up.newsAt[a])).limit(News.MOST)
                 .mapToInt(u -> u).toArray();
         for (int i = 0; i < 2 && limit.peers() && settings.instances() > 1 && fresh.length > 0; i++) {
             int peer = (int) (chance.next() * (settings.instances() - 1));
@@ -356,7 +287,7 @@
         return Math.max(0.1, up.entry[u].weight());
     }
 
-    /** What an upstream can do: the calls it works on, over their stay. Its queue lengthens both alike. */
+    /** What an upstream can do: the calls it holds over their stay. Its queue lengthens both alike. */
     private double does(int u) {
         return Math.max(size(u), up.held[u] + 1) / Math.max(1e-3, up.slowness[u]);
     }
@@ -374,39 +305,35 @@
         double bare = 0;
         for (int u : g.members) {
             if (up.newsAt[u] > 0 && up.slowness[u] > 0 && !up.sick[u]) {
-                double can = does(u);
                 double load = up.held[u] / size(u);
                 n++;
-                does += can;
-                crowd += can * load;
-                bare += can * up.slowness[u] / Math.max(1, load);
-                // Danger: all is turned away, nothing is sent, and no news tells that it could be: news fades.
-                late += can * Math.min(2, up.slowness[u]) * Math.exp((up.newsAt[u] - now) / (8 * meanSlo));
+                does += does(u);
+                crowd += does(u) * load;
+                bare += does(u) * up.slowness[u] / Math.max(1, load);
+                // Danger: with all turned away no news tells that it could be sent; what there is fades.
+                late += does(u) * Math.min(2, up.slowness[u])
+                        * Math.exp((up.newsAt[u] - now) / (8 * meanSlo));
             }
         }
         g.does = does / n;
         g.crowd = crowd / does;
         g.late = late / does;
-        // Twice the work itself, as far as that is well within the SLO: lower turns away what would be in time.
+        // Twice the work itself, where that is well within the SLO: less turns away what would be in time.
         g.full = Math.max(0.5, Math.min(0.75, 1.9 * bare / does));
     }
 
-    /**
-     * With reports the first group is drawn: by what its upstreams can do over the third power of their load, others
-     * than the own at a hundredth, as crossing has its price. Danger: where all that is past a mark goes to the
-     * least loaded group, seconds late, groups swing.
-     */
+    /** With reports the first group is drawn: by what it can do over the third power of its load, others at a
+     * hundredth, as crossing costs. Danger: groups swing where all goes to the least loaded one. */
     private int lead() {
-        double[] upTo = new double[groups.length];
-        double sum = 0;
+        double[] upTo = new double[groups.length + 1];
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
             look(g);
-            sum += (i == 0 ? 1 : 0.01) * (g.members.length - g.ill) * g.does / Math.pow(1 + g.crowd, 3);
-            upTo[i] = sum;
+            double draws = (g.members.length - g.ill) * g.does / Math.pow(1 + g.crowd, 3);
+            upTo[i + 1] = upTo[i] + draws * (i == 0 ? 1 : 0.01);
         }
-        double drawn = chance.next() * sum;
-        return Math.max(0, IntStream.range(0, groups.length).filter(i -> drawn < upTo[i]).findFirst().orElse(0));
+        double drawn = chance.next() * upTo[groups.length];
+        return IntStream.range(0, groups.length).filter(i -> drawn < upTo[i + 1]).findFirst().orElse(0);
     }
 
     private void judge(int u, Outcome outcome, long took, boolean late) {
@@ -516,7 +443,8 @@
     private boolean moreMayCome(Call c) {
         int anchor = c.anchor();
         // Danger: two quick failures leave most of the time unused; two are enough beside one that is out.
-        if (c.shots >= c.most && c.out > 0 && anchor >= 0 || c.shots >= Math.min(MOST, limit.mostShots())) {
+        if (c.shots >= c.most && c.out > 0 && anchor >= 0
+                || c.shots >= Math.min(Call.MOST, limit.mostShots())) {
             return false;
         }
         return anchor < 0 || c.product.repeat() == Repeat.IDEMPOTENT
@@ -643,6 +571,9 @@
         if (sickOne >= 0) {
             return sickOne;
         }
+        // Danger: nobody sees the queues that others make. Three of a group, and one more for each three
+        // calls a second, go first, in this balancer's own order: each is met again within seconds.
+        int few = 3 + (int) (callsLately / 18);
         boolean anyWell = Arrays.stream(groups).anyMatch(g -> g.ill < g.members.length);
         // Danger: with all rooms taken, a lost zone's upstreams have room, and shots past it fail there.
         // The first tier tries sick ones (but for trials) only when none is well. With nothing out one that
@@ -652,14 +583,14 @@
             for (int i = 0; i < groups.length; i++) {
                 Group g = groups[(start + i) % groups.length];
                 int n = (level == 0 || settings.tier() == 0) && !hasRoom(g, c) ? 0
-                        : level > 0 || !reported ? g.members.length : g.members.length;
+                        : level > 0 || !reported ? g.members.length : Math.min(few, g.members.length);
                 // Well above the mean in flight: a quarter more, and a half so that few calls are no crowd.
                 double crowd = 1.25 * g.held / Math.max(1, n) + 0.5;
                 boolean any = false;
                 for (int k = 0; k < n || any; k++) {
                     int u = g.members[(g.cursor + k) % n];
                     double speed = speed(u);
-                    if ((level > 0 || reported || up.inFlight[u] <= crowd * speed) && (level > 2 || !up.sick[u])
+                    if ((level > 0 || up.inFlight[u] <= crowd * speed) && (level > 2 || !up.sick[u])
                             && (level > 2 || level > 1 && c.out == 0 || c.shots == 0
                             || Arrays.stream(c.to, 0, c.shots).noneMatch(to -> to == u))
                             && dropsRepeat(c, anchor, u) && hasTurn(u)) {
--- a/src/main/java/gorsestack/decision/Figures.java
+++ b/src/main/java/gorsestack/decision/Figures.java
@@ -91,6 +91,11 @@
         return marked.getOrDefault(mark, -1);
     }
 
+    /** An upstream's place in a balancer's own order of them. */
+    int lot(int u, int balancer) {
+        return mark[u] * (2 * balancer + 1) & 0xffffff;
+    }
+
     /** Whether nothing needs this index any more. */
     boolean over(int u) {
         return entry[u].state() == Upstreams.State.GONE && remembered[u] == 0
--- a/src/main/java/gorsestack/decision/Settings.java
+++ b/src/main/java/gorsestack/decision/Settings.java
@@ -36,8 +36,18 @@
     public record Reports(int inFlight, int rate) {
         public static final Reports NONE = new Reports(-1, -1);
 
-        /** The value in a row, -1 where it is not there or no number that can be. */
-        double value(double[] row, int column) {
+        /** Calls held; -1 where they are not told, or not as a number that can be. */
+        double held(double[] row) {
+            return value(row, inFlight);
+        }
+
+        /** Calls answered a second; -1 where reports have none, no number where this one should and has not. */
+        double rate(double[] row) {
+            double told = value(row, rate);
+            return rate >= 0 && told < 0 ? Double.NaN : told;
+        }
+
+        private static double value(double[] row, int column) {
             boolean there = row != null && column >= 0 && column < row.length;
             return there && row[column] >= 0 && row[column] < 1e9 ? row[column] : -1;
         }
--- a/src/main/java/gorsestack/simhost/SimHost.java
+++ b/src/main/java/gorsestack/simhost/SimHost.java
@@ -211,7 +211,7 @@
                 Outcome outcome = outcome(row.text("code"));
                 long took = nanos(row.numberOr("costTime", 0));
                 boolean closed = row.flag("closed");
-                double[] report = row.numbersOrNull("gauge");
+                double[] report = row.numbersOrNull();
                 if (upstream != null && report != null) {
                     guard(instance, () -> choice.report(now, upstream, report));
                 }
