--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -16,11 +16,10 @@
 import java.util.stream.IntStream;
 
 /**
- * All decisions of one balancer. Make one for each balancer, tell it whatever happens through the public
- * methods, with the clock in nanoseconds, never going back; it acts through Outgoing before the method
- * returns. Settings, Upstreams and Outcome say what goes in, Outgoing what comes out; all four stand in this
- * package and know no protocol. Each input touches some API calls; for each of those the list of rules below
- * is gone through in order, again and again, until none fires; see docs/design.md.
+ * All decisions of one balancer. Tell it whatever happens through the public methods, with the clock in
+ * nanoseconds, never going back; it acts through Outgoing before the method returns. Settings, Upstreams and
+ * Outcome say what goes in, Outgoing what comes out; none knows a protocol. Each input touches some calls;
+ * for each the list of rules below is gone through in order until none fires; see docs/design.md.
  */
 public final class Choice {
     private record Rule(Predicate<Call> when, Consumer<Call> then) { }
@@ -36,7 +35,7 @@
     private final boolean reported;
     private final double meanSlo;
     private double work;
-    /** This balancer's calls of the last six seconds or so. */
+    /** Calls of the last six seconds or so. */
     private double callsLately;
     private long calledAt;
     private final double byValue;
@@ -210,15 +209,15 @@
             up.slowness[u] += (2 - up.slowness[u]) * fresh;
         }
         if (reported) {
-            // What a call takes at size one, over twenty: with no rate told, stays go by it.
             if (outcome == Outcome.FULFILLED && up.newsAt[u] == now) {
+                // What a call takes at size one, over twenty: with no rate told, stays go by it.
                 double one = took / (double) c.product.slo() * size(u) / (up.held[u] + 1);
                 work += (one - work) / (work == 0 ? 1 : 20);
             }
             tellPeers();
         }
-        // Danger: hundreds of balancers' connections fill an upstream's table, which costs it a third. Where a
-        // part of a room is under a call, one that is not used again in 3 s or so is closed.
+        // Danger: hundreds of balancers' connections fill an upstream's table, which costs it a third. Where
+        // a part of a room is under a call, one that is not used again in 3 s or so is closed.
         if (groups[0].least < 1 && up.inFlight[u] == 0 && callsLately < 2 * g.members.length) {
             out.close(up.entry[u].id());
         }
@@ -266,17 +265,17 @@
 
     /** Danger: what answers nothing reports nothing. Silence counts as a stay of four times its length. */
     private void silent(int u, long lasted) {
-        double stays = 4 * lasted / meanSlo;
-        hear(u, up.slowness[u] + Math.max(0, stays - up.slowness[u]) * 0.3, up.held[u], now);
+        if (reported) {
+            double more = Math.max(0, 4 * lasted / meanSlo - up.slowness[u]);
+            hear(u, up.slowness[u] + more * 0.3, up.held[u], now);
+        }
     }
 
     /** Danger: one of a thousand meets an upstream twice a minute. Two messages an answer, to any peers, go
      * round in seconds for a hundredth of the result; to all they would cost hundreds of times that. */
     private void tellPeers() {
-        int[] fresh = IntStream.range(0, up.size).boxed()
-                .filter(u -> up.newsAt[u] > 0 && up.entry[u].state() == State.READY)
-                .sorted((a, b) -> Long.compare(up.newsAt[b], up.newsAt[a])).limit(News.MOST)
-                .mapToInt(u -> u).toArray();
+        Integer[] fresh = IntStream.range(0, up.size).filter(u -> up.newsAt[u] > 0).boxed()
+                .sorted(Comparator.comparingLong(u -> -up.newsAt[u])).toArray(Integer[]::new);
         for (int i = 0; i < 2 && limit.peers() && settings.instances() > 1 && fresh.length > 0; i++) {
             int peer = (int) (chance.next() * (settings.instances() - 1));
             out.tell(peer < settings.me() ? peer : peer + 1, News.write(up, fresh, now));
@@ -329,8 +328,8 @@
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
             look(g);
-            double draws = (g.members.length - g.ill) * g.does / Math.pow(1 + g.crowd, 3);
-            upTo[i + 1] = upTo[i] + draws * (i == 0 ? 1 : 0.01);
+            double well = (i == 0 ? 1 : 0.01) * (g.members.length - g.ill);
+            upTo[i + 1] = upTo[i] + well * g.does / Math.pow(1 + g.crowd, 3);
         }
         double drawn = chance.next() * upTo[groups.length];
         return IntStream.range(0, groups.length).filter(i -> drawn < upTo[i + 1]).findFirst().orElse(0);
@@ -353,12 +352,12 @@
             copies = Math.min(10, copies + 0.03);
             g.answered = answeredNow(g) + 1;
             g.answeredAt = now;
-        } else if (reported && outcome == Outcome.TIMED_OUT) {
-            silent(u, took);
-        }
-        if (outcome != Outcome.FULFILLED && ++up.straightFailures[u] >= 3) {
+        } else if (++up.straightFailures[u] >= 3) {
             mark(u, true);
         }
+        if (outcome == Outcome.TIMED_OUT) {
+            silent(u, took);
+        }
     }
 
     private void mark(int u, boolean is) {
@@ -382,9 +381,8 @@
         if (c.open[last] && up.heardAt[c.to[last]] < c.at[last]) {
             mark(c.to[last], true);
         }
-        if (reported && c.open[last] && up.newsAt[c.to[last]] < c.at[last]) {
+        if (c.open[last] && up.newsAt[c.to[last]] < c.at[last]) {
             silent(c.to[last], now - c.at[last]);
-            c.lookAt = now + c.product.slo() / 2;
         }
     }
 
@@ -544,9 +542,8 @@
      */
     private boolean hasRoom(Group g, Call c) {
         if (reported && groups[0].least < 1) {
-            look(g);
-            double worth = 1 - 0.5 * (1 - c.product.billedValue() / bestValue);
-            return chance.next() < 2 - g.late / (g.full * worth);
+            // The cheapest is turned away first, at half the stay.
+            return chance.next() < 2 - 2 * g.late / g.full / (1 + c.product.billedValue() / bestValue);
         }
         hold(g, c.product, 0);
         double inTime = Math.min(1, (c.end - now) / (double) c.product.slo());
@@ -620,7 +617,6 @@
         Group g = groups[up.group[u]];
         double usual = up.usual[up.alike[u]];
         if (reported) {
-            look(g);
             double load = (up.held[u] + up.since[u]) / size(u);
             return up.slowness[u] == 0 ? 1
                     : Math.max(0.02, Math.min(3, does(u) / g.does * (g.crowd + 1) / (load + 1)));
--- a/src/main/java/gorsestack/decision/News.java
+++ b/src/main/java/gorsestack/decision/News.java
@@ -6,7 +6,7 @@
  */
 final class News {
     /** The freshest dozen: 73 bytes, so two of them cost less than one of all, and young news spreads faster. */
-    static final int MOST = 12;
+    private static final int MOST = 12;
     private static final byte VERSION = 1;
     private static final int ENTRY = 6;
     private static final long AGE = 50_000_000;
@@ -18,11 +18,14 @@
 
     private News() { }
 
-    static byte[] write(Figures up, int[] of, long now) {
-        byte[] m = new byte[1 + ENTRY * of.length];
+    /** Tells of the first dozen of those. */
+    static byte[] write(Figures up, Integer[] of, long now) {
+        int n = Math.min(MOST, of.length);
+        byte[] m = new byte[1 + ENTRY * n];
         m[0] = VERSION;
         int at = 1;
-        for (int u : of) {
+        for (int i = 0; i < n; i++) {
+            int u = of[i];
             m[at++] = (byte) (up.mark[u] >> 16);
             m[at++] = (byte) (up.mark[u] >> 8);
             m[at++] = (byte) up.mark[u];
