--- a/src/main/java/gorsestack/decision/Settings.java
+++ b/src/main/java/gorsestack/decision/Settings.java
@@ -32,9 +32,9 @@
     public record Limits(int mostShots, boolean mayCancel, boolean secondCopies, boolean retryAfter,
             long maxRetryAfter, boolean peers) { }
 
-    /** Where a load report has the calls held and the calls answered a second; -1 where it has them not. */
-    public record Reports(int inFlight, int rate) {
-        public static final Reports NONE = new Reports(-1, -1);
+    /** A load report's columns, and where it has the calls held and those answered a second; -1 where not. */
+    public record Reports(List<String> columns, int inFlight, int rate) {
+        public static final Reports NONE = new Reports(List.of(), -1, -1);
 
         /** Calls held; -1 where they are not told, or not as a number that can be. */
         double held(double[] row) {
--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -11,8 +11,10 @@
 import gorsestack.wire.Catalog;
 import gorsestack.wire.ClientConnection;
 import gorsestack.wire.Discovery;
+import gorsestack.wire.LoadReport;
 import gorsestack.wire.Network;
 import gorsestack.wire.Owner;
+import gorsestack.wire.Peers;
 import gorsestack.wire.Request;
 import gorsestack.wire.UpstreamConnection;
 import java.net.InetSocketAddress;
@@ -69,6 +71,11 @@
             }
         }
 
+        @Override
+        public void reported(String report) {
+            choice.report(tick(), upstream, reports.row(report));
+        }
+
         /** Gives the shot up; late bytes reach no later call, as its connection goes with it. */
         void close() {
             if (!over && connection != null) {
@@ -82,6 +89,8 @@
     private final Pool pool;
     private final Random random;
     private final Choice choice;
+    private final LoadReport reports;
+    private Peers peers;
     private final Map<String, Settings.Product> products = new HashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<ClientConnection, Call> byClient = new HashMap<>();
@@ -108,6 +117,7 @@
         this.random = new Random(seed);
         this.discovery = new Discovery(network, owner, limits, discovery, index, this);
         settings.products().forEach(p -> products.put(p.name(), p));
+        reports = new LoadReport(settings.reports().columns());
         choice = new Choice(settings, seed, tick(), this);
         owner.at(owner.now() + limits.sweep(), this::sweep);
     }
@@ -260,9 +270,22 @@
         owner.at(at, () -> choice.wake(tick(), token));
     }
 
-    /** Nothing carries messages between balancers on sockets yet. */
     @Override
-    public void tell(int peer, byte[] message) { }
+    public void tell(int peer, byte[] message) {
+        if (peers != null) {
+            peers.tell(peer, message);
+        }
+    }
+
+    /** What carries messages to other balancers; without it none is sent. */
+    public void peers(Peers to) {
+        peers = to;
+    }
+
+    /** A message of another balancer's. */
+    public void heard(byte[] message) {
+        choice.peer(tick(), message);
+    }
 
     @Override
     public void close(String upstream) {
--- a/src/main/java/gorsestack/serve/Configuration.java
+++ b/src/main/java/gorsestack/serve/Configuration.java
@@ -9,14 +9,16 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 
 /** What the operators tell a balancer at its start. */
 record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, Limits limits,
-        Catalog known, Settings settings) {
+        Catalog known, List<InetSocketAddress> peers, Settings settings) {
 
     /** The file holds all; the environment's three variables go before it. */
     static Configuration read(Path file, Map<String, String> environment) throws IOException {
@@ -28,13 +30,14 @@
         if (settings.products().isEmpty()) {
             throw new IOException("settings: no products");
         }
+        check(all.path("settings"));
         Catalog known = all.path("known").isObject() ? Catalog.read(all.path("known"), Upstreams.Form.CACHED)
                 : new Catalog(0, new Upstreams(Upstreams.Form.CACHED, List.of()), Map.of());
         return new Configuration(told(all, environment, "name"),
                 address(told(all, environment, "listen"), "listen"),
                 address(told(all, environment, "discovery"), "discovery"),
                 seed(all.path("seed").asText("")), Limits.of(all.path("limits"), all.path("settings")), known,
-                settings);
+                peers(all.path("peers"), settings), settings);
     }
 
     /** The file once more, after SIGHUP: now its discovery goes before the environment's, which is of the start. */
@@ -47,7 +50,51 @@
     /** Whether only what can change under load differs. The seed and the list known are of a start, and may. */
     boolean sameButDiscovery(Configuration other) {
         return name.equals(other.name) && listen.equals(other.listen) && limits.equals(other.limits)
-                && settings.equals(other.settings);
+                && peers.equals(other.peers) && settings.equals(other.settings);
+    }
+
+    /** Settings that only deployments of the newer shape have; each may be absent, none of the wrong kind. */
+    private static void check(JsonNode settings) throws IOException {
+        JsonNode me = settings.path("me");
+        JsonNode instances = settings.path("replicasOfMe");
+        want(me.isMissingNode() || me.isInt() && me.asInt() >= 0 && me.asInt() < Math.max(1, instances.asInt(1)),
+                "me must be a whole number below replicasOfMe", me);
+        want(instances.isMissingNode() || instances.isInt() && instances.asInt() > 0,
+                "replicasOfMe must be a whole number above 0", instances);
+        JsonNode mayTell = settings.path("limits").path("peers");
+        want(mayTell.isMissingNode() || mayTell.isBoolean(), "limits.peers must be true or false", mayTell);
+        JsonNode source = settings.path("reporting").path("source");
+        want(source.isMissingNode() || List.of("answers", "probe", "none").contains(source.asText()),
+                "reporting.source must be answers, probe or none", source);
+        JsonNode columns = settings.path("reporting").path("columns");
+        want(columns.isMissingNode() || columns.isArray() && columns.size() <= 4, "reporting.columns must be up to four names", columns);
+        for (JsonNode column : columns) {
+            want(column.isTextual() && !column.asText().isEmpty(), "reporting.columns must be names", column);
+        }
+        for (JsonNode product : settings.path("products")) {
+            JsonNode late = product.path("lateBilledValue");
+            want(late.isMissingNode() || late.isNumber() && late.asDouble() >= 0 && late.asDouble() <= 1,
+                    "lateBilledValue must be from 0 to 1", late);
+        }
+    }
+
+    private static void want(boolean good, String what, JsonNode not) throws IOException {
+        if (!good) {
+            throw new IOException("settings: " + what + ", not " + not);
+        }
+    }
+
+    /** The balancers' addresses for messages, in the order of their numbers; without any none is sent. */
+    private static List<InetSocketAddress> peers(JsonNode node, Settings settings) throws IOException {
+        List<InetSocketAddress> peers = new ArrayList<>();
+        for (JsonNode peer : node) {
+            peers.add(address(peer.asText(""), "peers"));
+        }
+        if (!peers.isEmpty() && (peers.size() != settings.instances() || Set.copyOf(peers).size() < peers.size())) {
+            throw new IOException("peers must be one address for each of replicasOfMe, " + settings.instances() + ", not "
+                    + peers.size());
+        }
+        return settings.limits().peers() ? peers : List.of();
     }
 
     private static String told(JsonNode all, Map<String, String> environment, String key) {
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -6,6 +6,7 @@
 import gorsestack.wire.MinaNetwork;
 import gorsestack.wire.Network;
 import gorsestack.wire.Owner;
+import gorsestack.wire.Peers;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -39,6 +40,10 @@
         calls = new Calls(owner, limits, configuration.settings(), configuration.seed(), network,
                 configuration.discovery(), configuration.known().index());
         owner.execute(() -> calls.news(configuration.known()));
+        if (!configuration.peers().isEmpty()) {
+            Peers peers = new Peers(configuration.peers(), configuration.settings().me(), owner, calls::heard);
+            owner.execute(() -> calls.peers(peers));
+        }
         // Danger: the JVM's own answer to SIGHUP is to end, and to SIGTERM to close its log first.
         Signal.handle(new Signal("HUP"), signal -> reload());
         Signal.handle(new Signal("TERM"), signal -> end());
--- a/src/main/java/gorsestack/simhost/SettingsReader.java
+++ b/src/main/java/gorsestack/simhost/SettingsReader.java
@@ -53,7 +53,7 @@
             columns.add(column.asText());
         }
         return !node.path("source").asText("").equals("answers") ? Reports.NONE
-                : new Reports(columns.indexOf("active"), columns.indexOf("rps"));
+                : new Reports(columns, columns.indexOf("active"), columns.indexOf("rps"));
     }
 
     private static int shots(JsonNode limits) {
--- a/src/main/java/gorsestack/wire/Answer.java
+++ b/src/main/java/gorsestack/wire/Answer.java
@@ -9,7 +9,7 @@
     /** An upstream's answer: its header lines and its body as they came. */
     static Answer of(Head head, byte[] body) {
         ByteArrayOutputStream fields = new ByteArrayOutputStream(128);
-        head.copyFields(fields);
+        head.copyFields(fields, LoadReport.NAME);
         return new Answer(200, fields.toByteArray(), body);
     }
 
--- /dev/null
+++ b/src/main/java/gorsestack/wire/Peers.java
@@ -0,0 +1,76 @@
+package gorsestack.wire;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+/**
+ * Messages to and from the other balancers, a datagram each, which may be lost. Danger: anybody can send a datagram;
+ * only those from a peer's own address and of a message's length are taken, a few at a time.
+ */
+public final class Peers implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger("gorsestack.peers");
+    private static final int LONGEST = 256;
+    /** Told of and not yet looked at; what comes on top of that is old by the time that it would be. */
+    private static final int MOST_WAITING = 64;
+
+    private final List<InetSocketAddress> addresses;
+    private final int me;
+    private final DatagramSocket socket;
+
+    /** Listens on this balancer's own address among them; messages are told on the owner's thread. */
+    public Peers(List<InetSocketAddress> addresses, int me, Owner owner, Consumer<byte[]> told) throws IOException {
+        this.addresses = addresses;
+        this.me = me;
+        socket = new DatagramSocket(addresses.get(me));
+        Thread thread = new Thread(() -> listen(owner, told), "peers");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void listen(Owner owner, Consumer<byte[]> told) {
+        AtomicInteger waiting = new AtomicInteger();
+        DatagramPacket packet = new DatagramPacket(new byte[LONGEST + 1], LONGEST + 1);
+        while (!socket.isClosed()) {
+            try {
+                packet.setLength(LONGEST + 1);
+                socket.receive(packet);
+                SocketAddress from = packet.getSocketAddress();
+                if (packet.getLength() <= LONGEST && addresses.contains(from) && !from.equals(addresses.get(me))
+                        && waiting.get() < MOST_WAITING) {
+                    byte[] message = Arrays.copyOf(packet.getData(), packet.getLength());
+                    waiting.incrementAndGet();
+                    owner.execute(() -> {
+                        waiting.decrementAndGet();
+                        told.accept(message);
+                    });
+                }
+            } catch (IOException e) {
+                // A datagram refused by a peer that is down comes back as an error here.
+                LOG.log(System.Logger.Level.DEBUG, "no message taken: {0}", e.toString());
+            }
+        }
+    }
+
+    /** Sends one; a peer that there is none of, or that is down, gets none. */
+    public void tell(int peer, byte[] message) {
+        if (peer >= 0 && peer < addresses.size() && peer != me && message.length <= LONGEST) {
+            try {
+                socket.send(new DatagramPacket(message, message.length, addresses.get(peer)));
+            } catch (IOException e) {
+                LOG.log(System.Logger.Level.DEBUG, "message to {0} lost: {1}", peer, e.toString());
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        socket.close();
+    }
+}
--- a/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -10,6 +10,9 @@
     public interface Waiting {
         /** How it ended; the answer only where it was fulfilled. */
         void ended(Outcome outcome, Answer answer);
+
+        /** What the upstream said of its load, just before that. */
+        void reported(String report);
     }
 
     /** Who keeps connections. */
@@ -115,6 +118,10 @@
                 } else {
                     keeper.free(this);
                 }
+                String report = head.field(LoadReport.NAME);
+                if (report != null) {
+                    by.reported(report);
+                }
                 Outcome outcome = outcome(head);
                 by.ended(outcome, outcome == Outcome.FULFILLED ? Answer.of(head, body) : null);
             } else if (parser.begun() && !checked) {
--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -47,8 +47,9 @@
     void agreesWithThePlainModelOnGeneratedInputs() {
         for (int seed = 0; seed < 300; seed++) {
             SplittableRandom r = new SplittableRandom(seed);
-            Play play = six(Play.settings(1 + r.nextInt(5), r.nextInt(2), 1 + r.nextInt(4), r.nextBoolean(),
-                    Scope.values()[r.nextInt(3)]), seed);
+            Settings settings = Play.settings(1 + r.nextInt(seed % 3 == 0 ? 1000 : 5), r.nextInt(2), 1 + r.nextInt(4),
+                    r.nextBoolean(), Scope.values()[r.nextInt(3)]);
+            Play play = six(seed % 2 == 0 ? settings : Play.reporting(settings, r.nextInt(settings.instances())), seed);
             int slowest = 20 + r.nextInt(1500);
             double bad = r.nextDouble();
             for (int i = 0; i < 400; i++) {
@@ -70,6 +71,18 @@
                     play.tell(Form.CHANGES, entry("u" + u, state, r.nextInt(3) == 0 ? play.now : 0, u / 2,
                             u < 3 ? "a" : "b"));
                 }
+                // Whatever reports and messages say or leave out.
+                double[] odd = {-1, 0, 3, 40, 1e300, Double.NaN, Double.POSITIVE_INFINITY};
+                double[] row = r.doubles(r.nextInt(4)).map(x -> odd[(int) (x * 7)]).toArray();
+                play.choice.report(play.now, "u" + r.nextInt(8), r.nextInt(9) == 0 ? null : row);
+                byte[] message = new byte[r.nextInt(300)];
+                r.nextBytes(message);
+                if (!play.told.isEmpty() && r.nextBoolean()) {
+                    message = play.told.get(r.nextInt(play.told.size()));
+                } else if (message.length > 0) {
+                    message[0] = (byte) r.nextInt(3);
+                }
+                play.choice.peer(play.now, message);
                 if (r.nextInt(100) == 0) {
                     play.tell(Form.FAILED);
                 }
@@ -424,4 +437,107 @@
         assertTimeoutPreemptively(Duration.ofSeconds(5), () -> play.call("c", "once", 1000 * MS));
         assertEquals(1, play.calls.get("c").shots.size());
     }
+
+    /** Of so many calls to one of a thousand balancers, those that go to u0, after what happens before each. */
+    private static int callsToU0(int calls, int me, BiConsumer<Play, Integer> before) {
+        Play play = new Play(Play.reporting(Play.settings(1000, 0, 1, false, Scope.ALL), me), me);
+        play.tell(Form.CACHED, entry("u0", State.READY, 0, 0, "a"), entry("u1", State.READY, 0, 0, "a"));
+        int to = 0;
+        for (int i = 0; i < calls; i++) {
+            before.accept(play, i);
+            play.call("c" + i, "once", 1000 * MS);
+            List<Play.Shot> shots = play.calls.get("c" + i).shots;
+            to += !shots.isEmpty() && shots.get(0).upstream.equals("u0") ? 1 : 0;
+            play.fulfilLater("c" + i, 20 * MS);
+            play.runTo(play.now + 100 * MS);
+        }
+        play.settle();
+        return to;
+    }
+
+    /** Danger: one of a thousand balancers meets an upstream too seldom; it goes by what others hear of it. */
+    @Test
+    void goesByOwnReportsAndByWhatPeersTell() {
+        BiConsumer<Play, Integer> hear = (play, i) -> {
+            play.choice.report(play.now, "u0", new double[] {5, 30});
+            play.choice.report(play.now, "u1", new double[] {30, 3});
+        };
+        assertTrue(callsToU0(100, 0, (play, i) -> { }) > 30, "nothing told, nothing preferred");
+        int byReports = callsToU0(100, 0, hear);
+        assertTrue(byReports < 12, byReports + " calls to the slow one by reports");
+        Play teller = new Play(Play.reporting(Play.settings(1000, 0, 1, false, Scope.ALL), 7), 7);
+        teller.tell(Form.CACHED, entry("u0", State.READY, 0, 0, "a"), entry("u1", State.READY, 0, 0, "a"),
+                entry("u9", State.READY, 0, 0, "a"));
+        int byNews = callsToU0(100, 3, (play, i) -> {
+            teller.now = play.now;
+            hear.accept(teller, i);
+            teller.choice.report(teller.now, "u9", new double[] {30, 3});
+            teller.call("t" + i, "once", 1000 * MS);
+            teller.end("t" + i, 0, Outcome.FULFILLED);
+            play.choice.peer(play.now, teller.told.get(teller.told.size() - 1));
+        });
+        assertTrue(byNews < 12, byNews + " calls to the slow one by messages");
+        assertEquals(200, teller.told.size(), "two an answer");
+    }
+
+    /** Danger: what answers nothing sends no report, and its last good one drew calls for as long as it hung. */
+    @Test
+    void takesSilenceForALongStay() {
+        Play play = new Play(Play.reporting(Play.settings(1000, 0, 1, false, Scope.ALL), 0), 1);
+        play.tell(Form.CACHED, entry("u0", State.READY, 0, 0, "a"));
+        play.choice.report(play.now, "u0", new double[] {30, 3});
+        double before = play.choice.up.slowness[0];
+        play.runTo(play.now + 10 * MS);
+        play.call("c", "once", 1000 * MS);
+        play.runTo(play.now + 900 * MS);
+        assertTrue(play.choice.up.slowness[0] > 2 * before, before + " to " + play.choice.up.slowness[0]);
+    }
+
+    /** Danger: with all turned away nothing is sent, no news comes, and all is turned away for good. */
+    @Test
+    void sendsAgainOnceTheNewsOfAJamIsOld() {
+        Play play = new Play(Play.reporting(Play.settings(1000, 0, 1, false, Scope.ALL), 0), 1);
+        play.tell(Form.CACHED, entry("u0", State.READY, 0, 0, "a"));
+        for (int i = 0; i < 20; i++) {
+            play.choice.report(play.now, "u0", new double[] {1, 200});
+        }
+        int[] taken = new int[2];
+        for (int i = 0; i < 200; i++) {
+            play.call("c" + i, "once", 1000 * MS);
+            taken[i / 100] += play.calls.get("c" + i).shots.size();
+            play.fulfilLater("c" + i, 10 * MS);
+            play.runTo(play.now + (i == 99 ? 30_000 : i < 99 ? 1 : 20) * MS);
+        }
+        assertTrue(taken[0] < 20 && taken[1] > 80, taken[0] + " taken in the jam, " + taken[1] + " after it");
+    }
+
+    /** Danger: a connection to each upstream from each of a thousand balancers fills the upstreams' tables. */
+    @Test
+    void closesConnectionsThatAreNotUsedAgainSoonWhereBalancersAreMany() {
+        for (int instances : new int[] {2, 1000}) {
+            Play play = six(Play.settings(instances, 0, 1, false, Scope.ALL), 1);
+            for (int i = 0; i < 20; i++) {
+                play.call("c" + i, "once", 1000 * MS);
+                play.fulfilLater("c" + i, 10 * MS);
+                play.runTo(play.now + 3000 * MS);
+            }
+            assertTrue(instances == 2 ? play.closes == 0 : play.closes >= 15, instances + ": " + play.closes);
+        }
+    }
+
+    /** Danger: a late answer that is worth nothing holds up those behind it; the call is given up at its SLO, not later. */
+    @Test
+    void endsANonIdempotentCallAtItsSloWhereALateAnswerIsWorthNothing() {
+        Settings s = Play.settings(1, 0, 1, false, Scope.ALL);
+        List<Settings.Product> worthless = s.products().stream().map(p -> new Settings.Product(p.name(), p.repeat(), p.scope(),
+                p.repeatWindow(), p.slo(), p.clientTimeout(), p.billedValue(), 0)).toList();
+        Play play = six(new Settings(0, 1, 0, "a", s.zones(), worthless, s.limits(), s.rules(), false, false, s.reports(),
+                true, 0, MS), 1);
+        play.call("once", "once", 1000 * MS);
+        play.call("mark", "mark", 1000 * MS);
+        play.runTo(play.now + 450 * MS);
+        assertEquals("errored", play.calls.get("once").answer);
+        assertEquals(400, (play.calls.get("once").answeredAt - play.calls.get("once").from) / MS);
+        assertEquals(null, play.calls.get("mark").answer);
+    }
 }
--- a/src/test/java/gorsestack/decision/Play.java
+++ b/src/test/java/gorsestack/decision/Play.java
@@ -41,6 +41,8 @@
     final Choice choice;
     long now = 1000 * MS;
     int watches;
+    int closes;
+    final List<byte[]> told = new ArrayList<>();
     private final PriorityQueue<Due> dues =
             new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private long order;
@@ -64,6 +66,13 @@
                 new Rules(10_000 * MS, 20_000 * MS, 0.15, 2.5), ask, false, Settings.Reports.NONE, true, 0, MS);
     }
 
+    /** The same where upstreams report calls answered a second and calls held, and balancers may tell one another. */
+    static Settings reporting(Settings s, int me) {
+        return new Settings(me, s.instances(), s.tier(), s.zone(), s.zones(), s.products(), new Limits(s.limits().mostShots(),
+                true, true, true, 500 * MS, true), s.rules(), s.asksForList(), false,
+                new Settings.Reports(List.of("rps", "active"), 1, 0), true, 0, MS);
+    }
+
     static Upstreams.Entry entry(String id, Upstreams.State state, long startedAt, int cell, String zone) {
         return new Upstreams.Entry(id, state, startedAt, cell, 1, "", zone);
     }
@@ -216,10 +225,17 @@
     }
 
     @Override
-    public void tell(int peer, byte[] message) { }
+    public void tell(int peer, byte[] message) {
+        if (peer == settings.me() || peer < 0 || peer >= settings.instances() || message.length > 256) {
+            wrongs.add("a message of " + message.length + " bytes to " + peer);
+        }
+        told.add(message);
+    }
 
     @Override
-    public void close(String upstream) { }
+    public void close(String upstream) {
+        closes++;
+    }
 
     @Override
     public void watch() {
--- a/src/test/java/gorsestack/serve/ServiceTest.java
+++ b/src/test/java/gorsestack/serve/ServiceTest.java
@@ -44,6 +44,8 @@
         assertEquals("n7 /127.0.0.1:18000 /127.0.0.1:18500 41 3", good.name() + " " + good.listen() + " "
                 + good.discovery() + " " + good.known().index() + " " + good.settings().products().size());
         assertEquals(120_000_000, good.limits().connectTimeout());
+        assertEquals("0 [] [] false 1.0", good.settings().me() + " " + good.peers() + " " + good.settings().reports().columns()
+                + " " + good.settings().limits().peers() + " " + good.settings().products().get(0).lateBilledValue());
         assertTrue(good.limits().upstreamConnections() + good.limits().clientConnections() < 1024 - 30);
         assertEquals(3_650_000_000L, good.limits().endAfterTerm());
     }
@@ -65,7 +67,14 @@
         String[][] rows = {{"\"products\": [", "\"others\": [", "no products"}, {"8c1f30d27a5be964", "xyz", "seed"},
             {"127.0.0.1:18000", "localhost:18000", "listen"}, {"127.0.0.1:18500", "127.0.0.1:99999", "discovery"},
             {"\"clientTimeout\": 3000.0,", "", "clientTimeout"}, {"\"settings\"", "\"sittings\"", "settings"},
-            {"\"endpoints\"", "\"ends\"", "endpoints"}, {"{", "", ""}};
+            {"\"endpoints\"", "\"ends\"", "endpoints"}, {"{", "", ""},
+            {"\"tier\": 0", "\"me\": 2", "me must"}, {"\"tier\": 0", "\"me\": \"1\"", "me must"},
+            {"\"replicasOfMe\": 2", "\"replicasOfMe\": 0", "replicasOfMe"},
+            {"\"mayCancel\"", "\"peers\": 1, \"mayCancel\"", "limits.peers"},
+            {"\"tier\": 0", "\"reporting\": {\"source\": \"always\"}", "reporting.source"},
+            {"\"tier\": 0", "\"reporting\": {\"source\": \"answers\", \"columns\": [1]}", "reporting.columns"},
+            {"\"billedValue\": 1.0", "\"lateBilledValue\": 2", "lateBilledValue"},
+            {"\"seed\"", "\"peers\": [\"127.0.0.1:18900\"], \"seed\"", "peers must"}};
         for (String[] row : rows) {
             String said = assertThrows(IOException.class, () -> read(row[0], row[1]), row[1]).getMessage();
             assertTrue(said.contains(row[2]), said);
