--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -310,15 +310,15 @@
                 crowd += does(u) * load;
                 bare += does(u) * up.slowness[u] / Math.max(1, load);
                 // Danger: with all turned away no news tells that it could be sent; what there is fades.
-                late += does(u) * Math.min(2, up.slowness[u])
-                        * Math.exp((up.newsAt[u] - now) / (8 * meanSlo));
+                late += does(u) * Math.min(4, up.slowness[u])
+                        * Math.exp((up.newsAt[u] - now) / (20 * meanSlo));
             }
         }
         g.does = does / n;
         g.crowd = crowd / does;
         g.late = late / does;
-        // Twice the work itself, where that is well within the SLO: less turns away what would be in time.
-        g.full = Math.max(0.5, Math.min(0.75, 1.9 * bare / does));
+        // Half as much again as the work itself, where that is well within the SLO, as rooms have it.
+        g.full = Math.max(0.4, Math.min(0.6, 1.5 * bare / does));
     }
 
     /** With reports the first group is drawn: by what it can do over the third power of its load, others at a
