The mean stay by the turns that upstreams have; full at a quarter more than the work

Slow upstreams weighed in the mean though they had hardly a turn. Cut after fading, stays of hundreds of SLOs stood for half a minute: the test of a jam's old news found it.

--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -291,34 +291,31 @@
         return Math.max(size(u), up.held[u] + 1) / Math.max(1e-3, up.slowness[u]);
     }
 
-    /** Sums up what is reported of a group, once for all that happens at a time. */
+    /** Sums up what is reported of a group; full is a quarter more than the work itself, 0.35 to 0.5 SLOs. */
     private void look(Group g) {
-        if (g.lookedAt == now) {
-            return;
-        }
-        g.lookedAt = now;
         double does = 1e-9;
         double n = 1e-9;
         double crowd = 0;
         double late = 0;
         double bare = 0;
+        double draws = 1e-9;
         for (int u : g.members) {
             if (up.newsAt[u] > 0 && up.slowness[u] > 0 && !up.sick[u]) {
                 double load = up.held[u] / size(u);
                 n++;
                 does += does(u);
                 crowd += does(u) * load;
+                draws += does(u) / (load + 1);
                 bare += does(u) * up.slowness[u] / Math.max(1, load);
                 // Danger: with all turned away no news tells that it could be sent; what there is fades.
-                late += does(u) * Math.min(4, up.slowness[u])
-                        * Math.exp((up.newsAt[u] - now) / (20 * meanSlo));
+                double fades = Math.exp((up.newsAt[u] - now) / (20 * meanSlo));
+                late += does(u) / (load + 1) * Math.min(4, up.slowness[u]) * fades;
             }
         }
         g.does = does / n;
         g.crowd = crowd / does;
-        g.late = late / does;
-        // Half as much again as the work itself, where that is well within the SLO, as rooms have it.
-        g.full = Math.max(0.4, Math.min(0.6, 1.5 * bare / does));
+        g.late = late / draws;
+        g.full = Math.max(0.35, Math.min(0.5, 1.25 * bare / does));
     }
 
     /** With reports the first group is drawn: by what it can do over the third power of its load, others at a
@@ -327,7 +324,10 @@
         double[] upTo = new double[groups.length + 1];
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
-            look(g);
+            if (g.lookedAt < now) {
+                g.lookedAt = now;
+                look(g);
+            }
             double well = (i == 0 ? 1 : 0.01) * (g.members.length - g.ill);
             upTo[i + 1] = upTo[i] + well * g.does / Math.pow(1 + g.crowd, 3);
         }
