--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -307,7 +307,6 @@
                 crowd += does(u) * load;
                 draws += does(u) / (load + 1);
                 bare += does(u) * up.slowness[u] / Math.max(1, load);
-                // Danger: with all turned away no news tells that it could be sent; what there is fades.
                 double fades = Math.exp((up.newsAt[u] - now) / (20 * meanSlo));
                 late += does(u) / (load + 1) * Math.min(4, up.slowness[u]) * fades;
             }
@@ -541,9 +540,10 @@
      * balancers holds varies more than the sum.
      */
     private boolean hasRoom(Group g, Call c) {
-        if (reported && groups[0].least < 1) {
-            // The cheapest is turned away first, at half the stay.
-            return chance.next() < 2 - 2 * g.late / g.full / (1 + c.product.billedValue() / bestValue);
+        if (reported && groups[0].least < 0.4) {
+            // The cheapest first, at half the stay. Danger: with all turned away no news comes; 1 in 20 is not.
+            double most = g.full * (1 + c.product.billedValue() / bestValue) / 2;
+            return chance.next() < Math.max(0.05, 2 - g.late / most);
         }
         hold(g, c.product, 0);
         double inTime = Math.min(1, (c.end - now) / (double) c.product.slo());
--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -508,7 +508,7 @@
             play.fulfilLater("c" + i, 10 * MS);
             play.runTo(play.now + (i == 99 ? 30_000 : i < 99 ? 1 : 20) * MS);
         }
-        assertTrue(taken[0] < 20 && taken[1] > 80, taken[0] + " taken in the jam, " + taken[1] + " after it");
+        assertTrue(taken[0] > 0 && taken[0] < 20 && taken[1] > 80, taken[0] + " taken in the jam, " + taken[1] + " after it");
     }
 
     /** Danger: a connection to each upstream from each of a thousand balancers fills the upstreams' tables. */
