--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -35,7 +35,8 @@
     private final boolean reported;
     private final double meanSlo;
     private double work;
-    /** Calls of the last six seconds or so. */
+    /** One draw a shot: drawn again for each group, hardly any would be turned away, and most would cross. */
+    private double luck;
     private double callsLately;
     private long calledAt;
     private final double byValue;
@@ -271,8 +272,7 @@
         }
     }
 
-    /** Danger: one of a thousand meets an upstream twice a minute. Two messages an answer, to any peers, go
-     * round in seconds for a hundredth of the result; to all they would cost hundreds of times that. */
+    /** Danger: one of a thousand meets an upstream twice a minute. Two messages an answer go round sooner. */
     private void tellPeers() {
         Integer[] fresh = IntStream.range(0, up.size).filter(u -> up.newsAt[u] > 0).boxed()
                 .sorted(Comparator.comparingLong(u -> -up.newsAt[u])).toArray(Integer[]::new);
@@ -291,7 +291,7 @@
         return Math.max(size(u), up.held[u] + 1) / Math.max(1e-3, up.slowness[u]);
     }
 
-    /** Sums up what is reported of a group; full is a quarter more than the work itself, 0.35 to 0.5 SLOs. */
+    /** Sums up what is reported of a group; full is half more than the work itself, 0.4 to 0.6 SLOs. */
     private void look(Group g) {
         double does = 1e-9;
         double n = 1e-9;
@@ -314,7 +314,7 @@
         g.does = does / n;
         g.crowd = crowd / does;
         g.late = late / draws;
-        g.full = Math.max(0.35, Math.min(0.5, 1.25 * bare / does));
+        g.full = Math.max(0.4, Math.min(0.6, 1.5 * bare / does));
     }
 
     /** With reports the first group is drawn: by what it can do over the third power of its load, others at a
@@ -323,10 +323,7 @@
         double[] upTo = new double[groups.length + 1];
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
-            if (g.lookedAt < now) {
-                g.lookedAt = now;
-                look(g);
-            }
+            look(g);
             double well = (i == 0 ? 1 : 0.01) * (g.members.length - g.ill);
             upTo[i + 1] = upTo[i] + well * g.does / Math.pow(1 + g.crowd, 3);
         }
@@ -541,9 +538,9 @@
      */
     private boolean hasRoom(Group g, Call c) {
         if (reported && groups[0].least < 0.4) {
-            // The cheapest first, at half the stay. Danger: with all turned away no news comes; 1 in 20 is not.
+            // The cheapest first, at half the stay. Danger: with all turned away no news comes; 5% are not.
             double most = g.full * (1 + c.product.billedValue() / bestValue) / 2;
-            return chance.next() < Math.max(0.05, 2 - g.late / most);
+            return luck < Math.max(0.05, 2 - g.late / most);
         }
         hold(g, c.product, 0);
         double inTime = Math.min(1, (c.end - now) / (double) c.product.slo());
@@ -563,6 +560,7 @@
     private int pick(Call c) {
         int anchor = c.anchor();
         int start = reported ? lead() : activeGroup();
+        luck = reported ? chance.next() : 0;
         // One in fifty first shots is a trial; never of a call that has this one shot only.
         int sickOne = c.shots == 0 && c.most > 1 && chance.next() < 1 / 50.0 ? trial() : -1;
         if (sickOne >= 0) {
--- a/src/main/java/gorsestack/decision/Group.java
+++ b/src/main/java/gorsestack/decision/Group.java
@@ -22,7 +22,6 @@
     double crowd;
     double late;
     double full;
-    long lookedAt;
     double answered;
     long answeredAt;
 }
