Read once more: one message for two peers, one sum an upstream, one reader of name lists

The same message was built twice an answer, what an upstream can do five times a sum; zones and columns were read by two loops; each check of an absent setting said so itself; judge was handed a time for one case that its caller knows. Left: the two prologues in CallsTest that look alike ask different things.

--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -196,7 +196,10 @@
         // Over the last eight or so, or the last two SLOs where one of many balancers sees fewer than that:
         // old answers tell nothing of now, and what is noise to one evens out over many.
         double fresh = Math.max(0.125, Math.min(0.3, (now - up.heardAt[u]) / (2.0 * c.product.slo())));
-        judge(u, outcome, took, took > Math.max(1, 3 * g.lateness) * c.product.slo());
+        judge(u, outcome, took > Math.max(1, 3 * g.lateness) * c.product.slo());
+        if (outcome == Outcome.TIMED_OUT) {
+            silent(u, took);
+        }
         // An error says nothing of the time an answer takes, and a shot cut short only that it takes longer.
         if (outcome == Outcome.FULFILLED || took > g.lateness * c.product.slo()) {
             learnRoom(g, c.product, took);
@@ -276,9 +279,10 @@
     private void tellPeers() {
         Integer[] fresh = IntStream.range(0, up.size).filter(u -> up.newsAt[u] > 0).boxed()
                 .sorted(Comparator.comparingLong(u -> -up.newsAt[u])).toArray(Integer[]::new);
+        byte[] message = News.write(up, fresh, now);
         for (int i = 0; i < 2 && limit.peers() && settings.instances() > 1 && fresh.length > 0; i++) {
             int peer = (int) (chance.next() * (settings.instances() - 1));
-            out.tell(peer < settings.me() ? peer : peer + 1, News.write(up, fresh, now));
+            out.tell(peer < settings.me() ? peer : peer + 1, message);
         }
     }
 
@@ -302,13 +306,14 @@
         for (int u : g.members) {
             if (up.newsAt[u] > 0 && up.slowness[u] > 0 && !up.sick[u]) {
                 double load = up.held[u] / size(u);
+                double can = does(u);
                 n++;
-                does += does(u);
-                crowd += does(u) * load;
-                draws += does(u) / (load + 1);
-                bare += does(u) * up.slowness[u] / Math.max(1, load);
+                does += can;
+                crowd += can * load;
+                draws += can / (load + 1);
+                bare += can * up.slowness[u] / Math.max(1, load);
                 double fades = Math.exp((up.newsAt[u] - now) / (20 * meanSlo));
-                late += does(u) / (load + 1) * Math.min(4, up.slowness[u]) * fades;
+                late += can / (load + 1) * Math.min(4, up.slowness[u]) * fades;
             }
         }
         g.does = does / n;
@@ -331,7 +336,7 @@
         return IntStream.range(0, groups.length).filter(i -> drawn < upTo[i + 1]).findFirst().orElse(0);
     }
 
-    private void judge(int u, Outcome outcome, long took, boolean late) {
+    private void judge(int u, Outcome outcome, boolean late) {
         Group g = groups[up.group[u]];
         if (outcome == Outcome.CANCELLED || outcome == Outcome.NOT_SENT || outcome == Outcome.SPOILT) {
             return;
@@ -351,9 +356,6 @@
         } else if (++up.straightFailures[u] >= 3) {
             mark(u, true);
         }
-        if (outcome == Outcome.TIMED_OUT) {
-            silent(u, took);
-        }
     }
 
     private void mark(int u, boolean is) {
--- a/src/main/java/gorsestack/serve/Configuration.java
+++ b/src/main/java/gorsestack/serve/Configuration.java
@@ -57,30 +57,29 @@
     private static void check(JsonNode settings) throws IOException {
         JsonNode me = settings.path("me");
         JsonNode instances = settings.path("replicasOfMe");
-        want(me.isMissingNode() || me.isInt() && me.asInt() >= 0 && me.asInt() < Math.max(1, instances.asInt(1)),
-                "me must be a whole number below replicasOfMe", me);
-        want(instances.isMissingNode() || instances.isInt() && instances.asInt() > 0,
-                "replicasOfMe must be a whole number above 0", instances);
+        want(me, me.isInt() && me.asInt() >= 0 && me.asInt() < Math.max(1, instances.asInt(1)),
+                "me must be a whole number below replicasOfMe");
+        want(instances, instances.isInt() && instances.asInt() > 0, "replicasOfMe must be a whole number above 0");
         JsonNode mayTell = settings.path("limits").path("peers");
-        want(mayTell.isMissingNode() || mayTell.isBoolean(), "limits.peers must be true or false", mayTell);
+        want(mayTell, mayTell.isBoolean(), "limits.peers must be true or false");
         JsonNode source = settings.path("reporting").path("source");
-        want(source.isMissingNode() || List.of("answers", "probe", "none").contains(source.asText()),
-                "reporting.source must be answers, probe or none", source);
+        want(source, List.of("answers", "probe", "none").contains(source.asText()),
+                "reporting.source must be answers, probe or none");
         JsonNode columns = settings.path("reporting").path("columns");
-        want(columns.isMissingNode() || columns.isArray() && columns.size() <= 4, "reporting.columns must be up to four names", columns);
+        want(columns, columns.isArray() && columns.size() <= 4, "reporting.columns must be up to four names");
         for (JsonNode column : columns) {
-            want(column.isTextual() && !column.asText().isEmpty(), "reporting.columns must be names", column);
+            want(column, column.isTextual() && !column.asText().isEmpty(), "reporting.columns must be names");
         }
         for (JsonNode product : settings.path("products")) {
             JsonNode late = product.path("lateBilledValue");
-            want(late.isMissingNode() || late.isNumber() && late.asDouble() >= 0 && late.asDouble() <= 1,
-                    "lateBilledValue must be from 0 to 1", late);
+            want(late, late.isNumber() && late.asDouble() >= 0 && late.asDouble() <= 1,
+                    "lateBilledValue must be from 0 to 1");
         }
     }
 
-    private static void want(boolean good, String what, JsonNode not) throws IOException {
-        if (!good) {
-            throw new IOException("settings: " + what + ", not " + not);
+    private static void want(JsonNode given, boolean good, String what) throws IOException {
+        if (!given.isMissingNode() && !good) {
+            throw new IOException("settings: " + what + ", not " + given);
         }
     }
 
--- a/src/main/java/gorsestack/simhost/SettingsReader.java
+++ b/src/main/java/gorsestack/simhost/SettingsReader.java
@@ -22,10 +22,6 @@
         if (info == null || !info.isObject()) {
             throw new WireException("settings: must be an object");
         }
-        List<String> zones = new ArrayList<>();
-        for (JsonNode zone : info.path("zones")) {
-            zones.add(zone.asText());
-        }
         List<Product> products = new ArrayList<>();
         for (JsonNode product : info.path("products")) {
             products.add(product(product));
@@ -33,7 +29,7 @@
         JsonNode limits = info.path("limits");
         JsonNode rules = info.path("rules");
         return new Settings(info.path("me").asInt(0), info.path("replicasOfMe").asInt(1), info.path("tier").asInt(0),
-                info.path("az").asText(""), zones, products,
+                info.path("az").asText(""), texts(info.path("zones")), products,
                 new Limits(shots(limits), limits.path("mayCancel").asBoolean(false),
                         limits.path("secondCopies").asBoolean(false),
                         limits.path("retryAfter").asBoolean(false),
@@ -48,14 +44,19 @@
 
     /** Reports that come only to probes are none: nothing is probed. */
     private static Reports reports(JsonNode node) {
-        List<String> columns = new ArrayList<>();
-        for (JsonNode column : node.path("columns")) {
-            columns.add(column.asText());
-        }
+        List<String> columns = texts(node.path("columns"));
         return !node.path("source").asText("").equals("answers") ? Reports.NONE
                 : new Reports(columns, columns.indexOf("active"), columns.indexOf("rps"));
     }
 
+    private static List<String> texts(JsonNode node) {
+        List<String> texts = new ArrayList<>();
+        for (JsonNode text : node) {
+            texts.add(text.asText());
+        }
+        return texts;
+    }
+
     private static int shots(JsonNode limits) {
         int most = limits.path("mostShots").asInt(0);
         return most > 0 ? most : ENDLESS;
--- a/src/test/java/gorsestack/serve/MixedShapesTest.java
+++ b/src/test/java/gorsestack/serve/MixedShapesTest.java
@@ -135,7 +135,6 @@
         AtomicInteger[] served = {new AtomicInteger(), new AtomicInteger()};
         AtomicInteger[] asked = {new AtomicInteger(), new AtomicInteger()};
         List<String> wrongs = new ArrayList<>();
-        int[] atDrain = new int[1];
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < 4 * EACH; i++) {
             Balancer to = balancers.get(i / 2);
@@ -165,13 +164,13 @@
         Thread.sleep(400);
         balancers.forEach(b -> b.news(upstreams, Upstreams.State.DRAINING));
         Thread.sleep(250);
-        atDrain[0] = upstreams.get(0).begun.get();
+        int atDrain = upstreams.get(0).begun.get();
         for (Thread client : clients) {
             client.join(30_000);
         }
         assertEquals(List.of(), wrongs, "each call has one answer");
-        assertEquals(atDrain[0], upstreams.get(0).begun.get(), "nothing new past the drain grace");
-        assertTrue(atDrain[0] > 0 && upstreams.get(1).begun.get() > 0);
+        assertEquals(atDrain, upstreams.get(0).begun.get(), "nothing new past the drain grace");
+        assertTrue(atDrain > 0 && upstreams.get(1).begun.get() > 0);
         upstreams.forEach(u -> u.ran.forEach((id, times) -> assertTrue(
                 Integer.parseInt(id.substring(id.indexOf('-') + 1)) % 2 == 0 || times == 1
                 && upstreams.stream().filter(v -> v.ran.containsKey(id)).count() == 1, id + " ran twice")));
