--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -106,10 +106,24 @@
                 up.release(u);
             }
         }
+        regroup();
+    }
+
+    /** By hand: out while back is Figures.OUT, whatever the list says; then cold from that time on. */
+    public void byHand(long at, String id, long back) {
+        now = at;
+        up.byHand.put(id, back);
+        if (up.index.containsKey(id)) {
+            restarted(up.of(id));
+            regroup();
+        }
+    }
+
+    private void regroup() {
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
             g.members = IntStream.range(0, up.size)
-                    .filter(u -> groups[up.group[u]] == g && up.entry[u].state() == State.READY).boxed()
+                    .filter(u -> groups[up.group[u]] == g && up.ready(u)).boxed()
                     .sorted(Comparator.comparingInt(u -> reported ? up.lot(u, settings.me()) : 0))
                     .mapToInt(u -> u).toArray();
             int n = g.members.length;
@@ -142,17 +156,21 @@
         Entry before = up.entry[u];
         up.entry[u] = e;
         if (!known || before.startedAt() != e.startedAt() || before.state() == State.GONE) {
-            up.straightFailures[u] = 0;
-            mark(u, false);
-            up.slowness[u] = 0;
-            up.newsAt[u] = 0;
-            // Rule 4: a burst at the start could spend the whole budget; it starts somewhere in its turn.
-            up.coldTurn[u] = chance.next();
-            up.coldAt[u] = now;
+            restarted(u);
         }
         return u;
     }
 
+    private void restarted(int u) {
+        up.straightFailures[u] = 0;
+        mark(u, false);
+        up.slowness[u] = 0;
+        up.newsAt[u] = 0;
+        // Rule 4: a burst at the start could spend the whole budget; it starts somewhere in its turn.
+        up.coldTurn[u] = chance.next();
+        up.coldAt[u] = now;
+    }
+
     /** A client's call; left is the time until the client gives up, below 0 if untold. */
     public void apiCall(long at, String id, String product, String tenant, long left) {
         now = at;
@@ -192,7 +210,7 @@
         c.neverRan[shot] = outcome.provesItNeverRan;
         c.out--;
         up.inFlight[u]--;
-        hold(g, c.product, -1);
+        g.hold(now, c.product, -1);
         // Over the last eight or so, or the last two SLOs where one of many balancers sees fewer than that:
         // old answers tell nothing of now, and what is noise to one evens out over many.
         double fresh = Math.max(0.125, Math.min(0.3, (now - up.heardAt[u]) / (2.0 * c.product.slo())));
@@ -215,7 +233,7 @@
         if (reported) {
             if (outcome == Outcome.FULFILLED && up.newsAt[u] == now) {
                 // What a call takes at size one, over twenty: with no rate told, stays go by it.
-                double one = took / (double) c.product.slo() * size(u) / (up.held[u] + 1);
+                double one = took / (double) c.product.slo() * up.size(u) / (up.held[u] + 1);
                 work += (one - work) / (work == 0 ? 1 : 20);
             }
             tellPeers();
@@ -243,7 +261,7 @@
         }
         // By Little's law a call stays as long as answering those held takes; with no rate told, as long as
         // their work and its own. Reports are noisy: the last three or so count.
-        double stays = rate < 0 ? work * (held + 1) / size(u) : (held + 0.2) / (rate + 1) / (meanSlo / 1e9);
+        double stays = rate < 0 ? work * (held + 1) / up.size(u) : (held + 0.2) / (rate + 1) * 1e9 / meanSlo;
         hear(u, up.slowness[u] == 0 ? stays : up.slowness[u] + (stays - up.slowness[u]) * 0.3,
                 up.newsAt[u] == 0 ? held : up.held[u] + (held - up.held[u]) * 0.5, now);
     }
@@ -253,7 +271,7 @@
         now = at;
         News.read(message, now, (mark, stays, held, heard) -> {
             int u = up.marked(mark);
-            if (reported && u >= 0 && heard > Math.max(up.newsAt[u], up.entry[u].startedAt())) {
+            if (reported && u >= 0 && heard > Math.max(up.newsAt[u], up.startedAt(u))) {
                 hear(u, stays, held, heard);
             }
         });
@@ -286,15 +304,6 @@
         }
     }
 
-    private double size(int u) {
-        return Math.max(0.1, up.entry[u].weight());
-    }
-
-    /** What an upstream can do: the calls it holds over their stay. Its queue lengthens both alike. */
-    private double does(int u) {
-        return Math.max(size(u), up.held[u] + 1) / Math.max(1e-3, up.slowness[u]);
-    }
-
     /** Sums up what is reported of a group; full is half more than the work itself, 0.4 to 0.6 SLOs. */
     private void look(Group g) {
         double does = 1e-9;
@@ -305,8 +314,8 @@
         double draws = 1e-9;
         for (int u : g.members) {
             if (up.newsAt[u] > 0 && up.slowness[u] > 0 && !up.sick[u]) {
-                double load = up.held[u] / size(u);
-                double can = does(u);
+                double load = up.held[u] / up.size(u);
+                double can = up.does(u);
                 n++;
                 does += can;
                 crowd += can * load;
@@ -351,7 +360,7 @@
             mark(u, up.sick[u] && late);
             // Three copies for a hundred answers: the design expects slow ones at one in some hundreds.
             copies = Math.min(10, copies + 0.03);
-            g.answered = answeredNow(g) + 1;
+            g.answered = g.answeredNow(now, settings.rules().cold()) + 1;
             g.answeredAt = now;
         } else if (++up.straightFailures[u] >= 3) {
             mark(u, true);
@@ -361,7 +370,7 @@
     private void mark(int u, boolean is) {
         if (up.sick[u] != is) {
             up.sick[u] = is;
-            groups[up.group[u]].ill += up.entry[u].state() != State.READY ? 0 : is ? 1 : -1;
+            groups[up.group[u]].ill += !up.ready(u) ? 0 : is ? 1 : -1;
             sick.remove(u);
             if (is) {
                 sick.add(u);
@@ -480,7 +489,7 @@
         up.inFlight[u]++;
         up.since[u]++;
         up.remembered[u]++;
-        hold(groups[up.group[u]], c.product, 1);
+        groups[up.group[u]].hold(now, c.product, 1);
         up.coldTurn[u] = 0;
         out.shot(c.id, up.entry[u].id(), c.end - now);
     }
@@ -544,20 +553,12 @@
             double most = g.full * (1 + c.product.billedValue() / bestValue) / 2;
             return luck < Math.max(0.05, 2 - g.late / most);
         }
-        hold(g, c.product, 0);
+        g.hold(now, c.product, 0);
         double inTime = Math.min(1, (c.end - now) / (double) c.product.slo());
         double room = g.room * inTime * (1 - byValue * (1 - c.product.billedValue() / bestValue));
         return g.heldLately < room && g.held < room + Math.sqrt(room * (1 - part));
     }
 
-    /** Counts a shot in or out, and keeps the mean held over the last SLO or so. */
-    private void hold(Group g, Product product, int change) {
-        double weight = Math.exp((g.heldAt - now) / (double) product.slo());
-        g.heldLately = g.held + (g.heldLately - g.held) * weight;
-        g.heldAt = now;
-        g.held += change;
-    }
-
     /** Picks by rotation in the ordered groups; each level gives up a wish, never a rule. -1 if none. */
     private int pick(Call c) {
         int anchor = c.anchor();
@@ -617,9 +618,9 @@
         Group g = groups[up.group[u]];
         double usual = up.usual[up.alike[u]];
         if (reported) {
-            double load = (up.held[u] + up.since[u]) / size(u);
+            double load = (up.held[u] + up.since[u]) / up.size(u);
             return up.slowness[u] == 0 ? 1
-                    : Math.max(0.02, Math.min(3, does(u) / g.does * (g.crowd + 1) / (load + 1)));
+                    : Math.max(0.02, Math.min(3, up.does(u) / g.does * (g.crowd + 1) / (load + 1)));
         }
         double base = settings.nominalWeights() ? usual : g.lateness;
         double took = up.slowness[u] == 0 ? usual : up.slowness[u];
@@ -634,7 +635,7 @@
         for (int n = sick.size(); n > 0; n--) {
             int u = sick.remove();
             sick.add(u);
-            if (up.entry[u].state() == State.READY && hasTurn(u)) {
+            if (up.ready(u) && hasTurn(u)) {
                 return u;
             }
         }
@@ -658,12 +659,7 @@
     }
 
     private boolean isCold(int u) {
-        return up.entry[u].startedAt() > 0 && now - up.entry[u].startedAt() < settings.rules().cold();
-    }
-
-    /** Answers of a group, fading over a quarter of the cold time: a few calls long, following the load. */
-    private double answeredNow(Group g) {
-        return g.answered * Math.exp((g.answeredAt - now) * 4.0 / Math.max(1, settings.rules().cold()));
+        return up.startedAt(u) > 0 && now - up.startedAt(u) < settings.rules().cold();
     }
 
     /**
@@ -679,13 +675,14 @@
         double all = 0;
         int warm = 0;
         for (Group g : groups) {
-            all += answeredNow(g);
+            all += g.answeredNow(now, settings.rules().cold());
             warm += g.warm;
         }
         Group own = groups[up.group[u]];
-        double each = Math.max(all / Math.max(1, warm), answeredNow(own) / Math.max(1, own.warm));
+        double ofOwn = own.answeredNow(now, settings.rules().cold()) / Math.max(1, own.warm);
+        double each = Math.max(all / Math.max(1, warm), ofOwn);
         double rate = Math.max(4e9 * each / settings.rules().cold(), 1.0 / settings.instances());
-        double age = (now - up.entry[u].startedAt()) / (double) settings.rules().cold();
+        double age = (now - up.startedAt(u)) / (double) settings.rules().cold();
         double share = settings.rules().coldShare() + (1 - settings.rules().coldShare()) * age;
         double often = rate * share * 0.3 * settings.rules().fallMultiple();
         up.coldTurn[u] = Math.min(1, up.coldTurn[u] + often * (now - up.coldAt[u]) / 1e9);
--- a/src/main/java/gorsestack/decision/Figures.java
+++ b/src/main/java/gorsestack/decision/Figures.java
@@ -13,7 +13,12 @@
  * no call remembers a shot to it. Danger: ids are ever new, and what is known of the old ones would fill the memory.
  */
 final class Figures {
+    /** Called back never, so far. */
+    static final long OUT = Long.MAX_VALUE;
+
     final Map<String, Integer> index = new HashMap<>();
+    /** What operators said, by name, so that neither the list nor another index lifts it: when called back, or OUT. */
+    final Map<String, Long> byHand = new HashMap<>();
     private final Map<List<Object>, Integer> kinds = new HashMap<>();
     private final ArrayDeque<Integer> free = new ArrayDeque<>();
     /** All indexes are below this. */
@@ -79,6 +84,26 @@
         return u;
     }
 
+    /** Whether shots may go there: the list says so, and nobody has taken it out by hand. */
+    boolean ready(int u) {
+        return entry[u].state() == Upstreams.State.READY && byHand.getOrDefault(entry[u].id(), 0L) != OUT;
+    }
+
+    /** When it last started, as the list says or as it was called back by hand; 0 when long ago. */
+    long startedAt(int u) {
+        long back = byHand.getOrDefault(entry[u].id(), 0L);
+        return back == OUT ? entry[u].startedAt() : Math.max(entry[u].startedAt(), back);
+    }
+
+    double size(int u) {
+        return Math.max(0.1, entry[u].weight());
+    }
+
+    /** What an upstream can do: the calls it holds over their stay. Its queue lengthens both alike. */
+    double does(int u) {
+        return Math.max(size(u), held[u] + 1) / Math.max(1e-3, slowness[u]);
+    }
+
     /** The number of a kind. */
     int kind(Object... kind) {
         int k = kinds.computeIfAbsent(List.of(kind), unknown -> kinds.size());
--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -5,6 +5,8 @@
 import gorsestack.decision.Outgoing;
 import gorsestack.decision.Settings;
 import gorsestack.decision.Upstreams;
+import gorsestack.operate.Handover;
+import gorsestack.operate.Management;
 import gorsestack.serve.Limits;
 import gorsestack.wire.Answer;
 import gorsestack.wire.BadMessage;
@@ -27,7 +29,7 @@
 import java.util.Set;
 
 /** The calls and shots that are out. Drives the module, and does what it says; decides nothing. */
-public final class Calls implements Outgoing, ClientConnection.Intake, Discovery.Listener {
+public final class Calls implements Outgoing, ClientConnection.Intake, Discovery.Listener, Management.Balancer {
     private static final System.Logger LOG = System.getLogger("gorsestack.calls");
 
     private static final class Call {
@@ -105,6 +107,8 @@
     private boolean ready;
     private boolean ending;
     private boolean leaving;
+    private boolean away;
+    private int mostClients;
     /** No call may be open any more then; set once the end is known. */
     private long lastAnswer = Long.MAX_VALUE;
     private Runnable whenQuiet;
@@ -115,6 +119,7 @@
         this.limits = limits;
         this.pool = new Pool(network, limits, owner);
         this.random = new Random(seed);
+        mostClients = limits.clientConnections();
         this.discovery = new Discovery(network, owner, limits, discovery, index, this);
         settings.products().forEach(p -> products.put(p.name(), p));
         reports = new LoadReport(settings.reports().columns());
@@ -131,7 +136,7 @@
 
     @Override
     public void call(ClientConnection from, Request request, long arrivedAt) {
-        if (clients.size() >= limits.mostAccepted()) {
+        if (clients.size() >= mostClients + limits.spareConnections()) {
             // Danger: out of descriptors; a call that was accepted is answered, and its connection given back.
             turnedAway++;
             from.answer(Answer.own(503, "", "too many connections"));
@@ -313,7 +318,7 @@
     @Override
     public void opened(ClientConnection from) {
         clients.add(from);
-        if (clients.size() > limits.clientConnections()) {
+        if (clients.size() > mostClients) {
             // Behind what has been read by now: a call that waits its turn is not closed on.
             owner.execute(this::makeRoom);
         }
@@ -321,7 +326,7 @@
 
     /** Danger: idle and silent clients by hundreds keep out those that have something to ask. */
     private void makeRoom() {
-        int over = clients.size() - limits.clientConnections();
+        int over = clients.size() - mostClients;
         for (int spared = 0; spared < 3 && over > 0; spared++) {
             over -= close(spared, over);
         }
@@ -351,14 +356,14 @@
 
     @Override
     public boolean ready() {
-        return ready && !ending;
+        return ready && !ending && !away;
     }
 
     @Override
     public boolean closing() {
         // Danger: closed while idle, a connection takes the call with it that is on its way; seen with few
         // descriptors. Just after an answer that says so there is none.
-        return leaving || clients.size() > limits.clientConnections();
+        return leaving || away || clients.size() > mostClients;
     }
 
     @Override
@@ -397,6 +402,37 @@
         List.copyOf(clients).forEach(c -> owner.execute(c::closeIfIdle));
     }
 
+    // What operators say.
+
+    @Override
+    public boolean knows(String upstream) {
+        return pool.knows(upstream);
+    }
+
+    @Override
+    public void byHand(String upstream, long back) {
+        choice.byHand(tick(), upstream, back);
+        if (back == Handover.OUT) {
+            pool.drop(upstream);
+        }
+    }
+
+    @Override
+    public void away(boolean isAway) {
+        if (isAway && !away) {
+            owner.at(owner.now() + limits.awayIdle(), this::emptyWhileAway);
+        }
+        away = isAway;
+    }
+
+    /** Danger: a client that asks nothing more would never learn that it is sent away. */
+    private void emptyWhileAway() {
+        if (away) {
+            List.copyOf(clients).forEach(c -> owner.execute(c::closeIfIdle));
+            owner.at(owner.now() + limits.sweep(), this::emptyWhileAway);
+        }
+    }
+
     private void quiet() {
         if (clients.isEmpty()) {
             Runnable quiet = whenQuiet;
@@ -410,7 +446,7 @@
         // Behind what has been read by now.
         owner.execute(() -> {
             List.copyOf(clients).forEach(ClientConnection::giveUpIfOverdue);
-            close(2, Math.max(0, clients.size() - limits.clientConnections() / 2));
+            close(2, Math.max(0, clients.size() - mostClients / 2));
         });
         if (notSent + turnedAway > 0) {
             LOG.log(System.Logger.Level.WARNING, "out of connections: {0} shots not sent, {1} calls turned away",
--- a/src/main/java/gorsestack/memory/Pool.java
+++ b/src/main/java/gorsestack/memory/Pool.java
@@ -27,11 +27,17 @@
     private final Limits limits;
     private final Owner owner;
     private long trustKeptAt;
+    private int most;
 
     Pool(Network network, Limits limits, Owner owner) {
         this.network = network;
         this.limits = limits;
         this.owner = owner;
+        most = limits.upstreamConnections();
+    }
+
+    void bound(int to) {
+        most = to;
     }
 
     /** Danger: an address that moved to another upstream; nothing that was opened to the old one is kept. */
@@ -74,7 +80,7 @@
             here.peekFirst().close(); // the new one takes its place; an upstream holds only so many
         }
         InetSocketAddress address = addresses.get(upstream);
-        if (address == null || all.size() >= limits.upstreamConnections() && !dropOldest()) {
+        if (address == null || all.size() >= most && !dropOldest()) {
             return null;
         }
         UpstreamConnection opened = new UpstreamConnection(limits, owner, this, upstream, address);
@@ -121,6 +127,11 @@
         return heardAt.getOrDefault(upstream, Long.MIN_VALUE) >= time;
     }
 
+    /** Whether the list names it. */
+    boolean knows(String upstream) {
+        return addresses.containsKey(upstream);
+    }
+
     /** Closes the upstream's idle connections. */
     void drop(String upstream) {
         ArrayDeque<UpstreamConnection> kept = idle.get(upstream);
--- /dev/null
+++ b/src/main/java/gorsestack/operate/Management.java
@@ -0,0 +1,174 @@
+package gorsestack.operate;
+
+import gorsestack.serve.Limits;
+import gorsestack.wire.Answer;
+import gorsestack.wire.BadMessage;
+import gorsestack.wire.Channel;
+import gorsestack.wire.HttpParser;
+import gorsestack.wire.Link;
+import gorsestack.wire.Owner;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Where operators call: one call to a connection, on a listener of its own. An answer needs nobody else. */
+public final class Management {
+    /** What operators may ask of the balancer. */
+    public interface Balancer {
+        boolean ready();
+
+        /** Whether the list names this upstream. */
+        boolean knows(String upstream);
+
+        /** Out while back is OUT, else back since then. */
+        void byHand(String upstream, long back);
+
+        /** Sends clients away, or takes them in again. */
+        void away(boolean away);
+    }
+
+    private static final System.Logger LOG = System.getLogger("gorsestack.operate");
+
+    private final Limits limits;
+    private final Owner owner;
+    private final Balancer balancer;
+    private Handover handover;
+    /** What was said by hand, to this process or to the other. */
+    private final Map<String, Long> byHand = new HashMap<>();
+    private final Set<Caller> callers = new LinkedHashSet<>();
+
+    public Management(Limits limits, Owner owner, Balancer balancer) {
+        this.limits = limits;
+        this.owner = owner;
+        this.balancer = balancer;
+    }
+
+    /** Where what is said is kept; before the first call. */
+    public void keep(Handover in) {
+        handover = in;
+    }
+
+    public Link caller() {
+        return new Caller();
+    }
+
+    /** Said here, or to another process of this balancer. */
+    public void told(String upstream, long back) {
+        if (!Long.valueOf(back).equals(byHand.put(upstream, back))) {
+            LOG.log(System.Logger.Level.INFO, back == Handover.OUT ? "{0} is out" : "{0} is called back", upstream);
+            balancer.byHand(upstream, back);
+        }
+    }
+
+    private static Answer say(boolean yes, String text) {
+        return Answer.own(yes ? 200 : 503, "", text);
+    }
+
+    /** Carries out one call; the answer comes at once or when what was said is kept. */
+    private void call(String method, String target, Consumer<Answer> answer) {
+        boolean put = method.equals("PUT");
+        if (target.equals("/healthcheck")) {
+            answer.accept(!method.equals("GET") ? Answer.own(405, "Allow: GET\r\n", "GET tells whether this is ready")
+                    : say(balancer.ready(), balancer.ready() ? "ready" : "not ready"));
+            return;
+        }
+        boolean health = target.equals("/healthcheck/fail") || target.equals("/healthcheck/ok");
+        String[] parts = target.split("/", -1);
+        boolean upstream = parts.length == 4 && parts[0].isEmpty() && parts[1].equals("upstreams")
+                && (parts[3].equals("maint") || parts[3].equals("ready"));
+        if (!health && !upstream) {
+            answer.accept(Answer.own(404, "", "no such call"));
+        } else if (!put) {
+            answer.accept(Answer.own(405, "Allow: PUT\r\n", "PUT does this"));
+        } else if (health) {
+            boolean away = target.endsWith("/fail");
+            LOG.log(System.Logger.Level.INFO, away ? "clients are sent away" : "clients are taken in again");
+            balancer.away(away);
+            answer.accept(say(true, away ? "clients are sent away" : "back to work"));
+        } else {
+            maintain(parts[2], parts[3].equals("maint"), answer);
+        }
+    }
+
+    private void maintain(String encoded, boolean out, Consumer<Answer> answer) {
+        String id;
+        try {
+            // Of a path, where a plus is a plus.
+            id = URLDecoder.decode(encoded.replace("+", "%2B"), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            answer.accept(Answer.own(400, "", "an id that cannot be read"));
+            return;
+        }
+        boolean isOut = byHand.getOrDefault(id, 0L) == Handover.OUT;
+        if (!isOut && !balancer.knows(id)) {
+            answer.accept(Answer.own(404, "", "no such upstream"));
+        } else if (out == isOut) {
+            answer.accept(say(true, out ? "out already" : "was not out"));
+        } else {
+            long back = out ? Handover.OUT : owner.now();
+            told(id, back);
+            handover.said(id, back, () -> answer.accept(say(true, out ? "out" : "back")));
+        }
+    }
+
+    /** One connection of an operator's. Danger: callers that say nothing, or half a call, and stay. */
+    private final class Caller implements Link {
+        private final HttpParser parser = HttpParser.request(limits);
+        private Channel channel;
+        private boolean heard;
+
+        @Override
+        public void opened(Channel opened) {
+            channel = opened;
+            callers.add(this);
+            if (callers.size() > limits.operators()) {
+                Caller oldest = callers.iterator().next();
+                callers.remove(oldest);
+                oldest.channel.close();
+            }
+            owner.at(owner.now() + limits.operatorSilence(), () -> {
+                if (!heard) {
+                    answer(Answer.own(408, "", "the call did not come to its end"));
+                }
+            });
+        }
+
+        @Override
+        public void received(byte[] bytes, long at) {
+            if (heard) {
+                return;
+            }
+            try {
+                parser.feed(bytes, 0, bytes.length);
+                if (parser.done()) {
+                    heard = true;
+                    if (parser.body().length > 0) {
+                        throw new BadMessage(400, "calls here have no body");
+                    }
+                    call(parser.head().start[0], parser.head().start[1], this::answer);
+                }
+            } catch (BadMessage e) {
+                answer(Answer.own(e.status, "", e.getMessage()));
+            }
+        }
+
+        private void answer(Answer answer) {
+            heard = true;
+            channel.write(answer.bytes(true));
+            // Danger: closing at once on what a caller still sends resets the connection under its answer.
+            owner.at(owner.now() + limits.linger(), channel::close);
+        }
+
+        @Override
+        public void sent() { }
+
+        @Override
+        public void closed() {
+            callers.remove(this);
+        }
+    }
+}
--- a/src/main/java/gorsestack/serve/Configuration.java
+++ b/src/main/java/gorsestack/serve/Configuration.java
@@ -14,13 +14,14 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 /** What the operators tell a balancer at its start. */
-record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, Limits limits,
+record Configuration(String name, InetSocketAddress listen, InetSocketAddress mgmt, InetSocketAddress discovery, long seed, Limits limits,
         Catalog known, List<InetSocketAddress> peers, Settings settings) {
 
-    /** The file holds all; the environment's three variables go before it. */
+    /** The file holds all; the environment's variables go before it. */
     static Configuration read(Path file, Map<String, String> environment) throws IOException {
         JsonNode all = new ObjectMapper().readTree(file.toFile());
         if (all == null || !all.isObject()) {
@@ -35,6 +36,8 @@
                 : new Catalog(0, new Upstreams(Upstreams.Form.CACHED, List.of()), Map.of());
         return new Configuration(told(all, environment, "name"),
                 address(told(all, environment, "listen"), "listen"),
+                told(all, environment, "mgmt").isEmpty() && !all.path("mgmt").isContainerNode() ? null
+                        : address(told(all, environment, "mgmt"), "mgmt"),
                 address(told(all, environment, "discovery"), "discovery"),
                 seed(all.path("seed").asText("")), Limits.of(all.path("limits"), all.path("settings")), known,
                 peers(all.path("peers"), settings), settings);
@@ -49,7 +52,7 @@
 
     /** Whether only what can change under load differs. The seed and the list known are of a start, and may. */
     boolean sameButDiscovery(Configuration other) {
-        return name.equals(other.name) && listen.equals(other.listen) && limits.equals(other.limits)
+        return name.equals(other.name) && listen.equals(other.listen) && Objects.equals(mgmt, other.mgmt) && limits.equals(other.limits)
                 && peers.equals(other.peers) && settings.equals(other.settings);
     }
 
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -8,6 +8,7 @@
         int upstreamConnections,
         int backlog,
         int spareConnections,
+        int operators,
         int headBytes,
         int bodyBytes,
         int queuedBytes,
@@ -28,12 +29,16 @@
         long acceptAfterTerm,
         long serveAfterTerm,
         long endAfterTerm,
+        long operatorSilence,
+        long awayIdle,
         long sweep,
         long warmUp,
         long net,
         long wayOut) {
 
     private static final long MS = 1_000_000;
+    /** Of a count of their own; one over that takes the place of the one that has been there longest. */
+    private static final int OPERATORS = 12;
 
     /** Past these nothing is accepted until there is room. */
     public int mostAccepted() {
@@ -42,7 +47,7 @@
 
     /** From the operators' limits and the settings. */
     public static Limits of(JsonNode limits, JsonNode settings) {
-        // The JVM holds about 30 descriptors of its own: jar, modules, selectors, log.
+        // The JVM holds 19 to 30 descriptors of its own: jar, modules, selectors, log. Operators have up to 16 more.
         int sockets = Math.max(96, limits.path("sockets").asInt(1024)) - 48;
         long connect = (long) (settings.path("limits").path("connectTimeout").asDouble(250) * MS);
         long idle = (long) (settings.path("limits").path("connIdle").asDouble(15_000) * MS);
@@ -60,6 +65,7 @@
                 1024,
                 // Accepted over the bound, while older ones are closed for them.
                 8,
+                OPERATORS,
                 16 << 10,
                 64 << 10,
                 // What one connection may have read ahead of the owner; 60 MB at full speed are more than the heap.
@@ -96,6 +102,10 @@
                 Math.max(600 * MS, (long) ((longest + 650 - slo / 2) * MS)),
                 // SIGKILL comes no sooner than the longest client timeout and 0.7 s more.
                 (long) (longest * MS) + 650 * MS,
+                // A call is a line or two; callers that stay in the middle of one are known to do so for 4 s.
+                5_000 * MS,
+                // Sent away, a client has 4 s. Most leave with an answer; closed on while idle, one may be just asking.
+                2_500 * MS,
                 500 * MS,
                 // Each of the two parts of the warm-up takes a third of that on a core of its own.
                 1_000 * MS,
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -2,6 +2,8 @@
 
 import gorsestack.memory.Calls;
 import gorsestack.memory.OwnerThread;
+import gorsestack.operate.Handover;
+import gorsestack.operate.Management;
 import gorsestack.wire.ClientConnection;
 import gorsestack.wire.MinaNetwork;
 import gorsestack.wire.Network;
@@ -23,11 +25,12 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Network network;
     private Calls calls;
+    private Handover handover;
 
     private Service(Path file) throws IOException {
         this.file = file;
         configuration = Configuration.read(file, System.getenv());
-        network = new MinaNetwork(configuration.limits(), owner);
+        network = new MinaNetwork(configuration.limits(), owner, configuration.mgmt() != null);
     }
 
     /** Starts a balancer; it runs on when this returns. */
@@ -40,6 +43,22 @@
         calls = new Calls(owner, limits, configuration.settings(), configuration.seed(), network,
                 configuration.discovery(), configuration.known().index());
         owner.execute(() -> calls.news(configuration.known()));
+        if (configuration.mgmt() != null) {
+            Management management = new Management(limits, owner, calls);
+            handover = new Handover(Path.of(System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))),
+                    configuration.name() + configuration.listen(), owner, new Handover.Listener() {
+                        @Override
+                        public void byHand(String upstream, long back) {
+                            management.told(upstream, back);
+                        }
+
+                        @Override
+                        public void beside(boolean another) { }
+                    });
+            management.keep(handover);
+            network.listenApart(configuration.mgmt(), limits.operators() + 4, management::caller);
+            handover.start();
+        }
         if (!configuration.peers().isEmpty()) {
             Peers peers = new Peers(configuration.peers(), configuration.settings().me(), owner, calls::heard);
             owner.execute(() -> calls.peers(peers));
--- a/src/main/java/gorsestack/serve/WarmUp.java
+++ b/src/main/java/gorsestack/serve/WarmUp.java
@@ -192,6 +192,12 @@
         @Override
         public void listen(InetSocketAddress address, Supplier<Link> links) { }
 
+        @Override
+        public void listenApart(InetSocketAddress address, int most, Supplier<Link> links) { }
+
+        @Override
+        public void bound(int most) { }
+
         @Override
         public void stopAccepting() { }
 
--- a/src/main/java/gorsestack/wire/Answer.java
+++ b/src/main/java/gorsestack/wire/Answer.java
@@ -19,7 +19,7 @@
                 (text + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
-    byte[] bytes(boolean last) {
+    public byte[] bytes(boolean last) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(128 + fields.length + body.length);
         String start = "HTTP/1.1 " + status + " " + reason() + "\r\nContent-Length: " + body.length + "\r\n"
                 + (last ? "Connection: close\r\n" : "");
--- a/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/src/main/java/gorsestack/wire/ClientConnection.java
@@ -167,7 +167,8 @@
         if (closed || !busy || deaf) {
             return;
         }
-        last |= intake.closing();
+        // Danger: calls sent ahead have been taken; closed on, they would have no answer.
+        last |= intake.closing() && ahead.isEmpty();
         channel.write(answer.bytes(last));
         if (last) {
             deaf = true;
--- a/src/main/java/gorsestack/wire/HttpParser.java
+++ b/src/main/java/gorsestack/wire/HttpParser.java
@@ -6,9 +6,9 @@
 import java.util.Arrays;
 
 /** Reads one request or one answer, fed in whatever pieces the connection brings. */
-final class HttpParser {
+public final class HttpParser {
     /** Takes the body's bytes as they come. */
-    interface Body {
+    public interface Body {
         void bytes(byte[] from, int at, int length) throws BadMessage;
     }
 
@@ -33,7 +33,7 @@
         this.sink = sink != null ? sink : this::keep;
     }
 
-    static HttpParser request(Limits limits) {
+    public static HttpParser request(Limits limits) {
         return new HttpParser(true, limits, null);
     }
 
@@ -53,7 +53,7 @@
         body.write(from, at, length);
     }
 
-    boolean done() {
+    public boolean done() {
         return state == State.DONE;
     }
 
@@ -62,16 +62,16 @@
         return head != null || line.size() > 0;
     }
 
-    Head head() {
+    public Head head() {
         return head;
     }
 
-    byte[] body() {
+    public byte[] body() {
         return body.toByteArray();
     }
 
     /** Takes bytes until the message ends; returns where it stopped. */
-    int feed(byte[] in, int at, int end) throws BadMessage {
+    public int feed(byte[] in, int at, int end) throws BadMessage {
         int i = at;
         while (i < end && state != State.DONE) {
             switch (state) {
--- a/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -3,6 +3,9 @@
 import gorsestack.serve.Limits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
@@ -36,23 +39,33 @@
         return thread;
     });
     private final NioProcessor processor = new OrderlyProcessor(threads);
-    private final NioSocketAcceptor acceptor;
+    private final BoundedAcceptor acceptor;
     private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
 
     public MinaNetwork(Limits limits, Owner owner) {
+        this(limits, owner, false);
+    }
+
+    /** Where another process of this balancer may listen for clients beside this one. */
+    public MinaNetwork(Limits limits, Owner owner, boolean beside) {
         this.owner = owner;
         this.limits = limits;
-        acceptor = new BoundedAcceptor(threads, processor, limits.mostAccepted());
-        acceptor.setBacklog(limits.backlog());
-        acceptor.setReuseAddress(true);
-        acceptor.setCloseOnDeactivation(false);
-        configure(acceptor.getSessionConfig());
+        acceptor = acceptor(limits.mostAccepted(), beside);
         configure(connector.getSessionConfig());
         // The links bound connecting themselves; this only keeps what they gave up from staying for good.
         connector.setConnectTimeoutMillis(2 * limits.connectTimeout() / 1_000_000);
         connector.setHandler(new Callbacks(null));
     }
 
+    private BoundedAcceptor acceptor(int most, boolean beside) {
+        BoundedAcceptor made = new BoundedAcceptor(threads, processor, most, beside);
+        made.setBacklog(limits.backlog());
+        made.setReuseAddress(true);
+        made.setCloseOnDeactivation(false);
+        configure(made.getSessionConfig());
+        return made;
+    }
+
     private static void configure(SocketSessionConfig config) {
         config.setTcpNoDelay(true);
         config.setMaxReadBufferSize(MOST_READ);
@@ -65,6 +78,18 @@
         acceptor.bind(address);
     }
 
+    @Override
+    public void listenApart(InetSocketAddress address, int most, Supplier<Link> links) throws IOException {
+        BoundedAcceptor apart = acceptor(most, false);
+        apart.setHandler(new Callbacks(links));
+        apart.bind(address);
+    }
+
+    @Override
+    public void bound(int most) {
+        acceptor.most = most;
+    }
+
     @Override
     public void stopAccepting() {
         acceptor.unbind();
@@ -172,12 +197,43 @@
 
     /** Danger: out of descriptors nothing is accepted for a second; over its bound it waits for room instead. */
     private static final class BoundedAcceptor extends NioSocketAcceptor {
-        private final int most;
+        private volatile int most;
+        private final boolean beside;
         private final AtomicInteger open = new AtomicInteger();
+        private final NioProcessor shared;
 
-        BoundedAcceptor(Executor threads, NioProcessor processor, int most) {
+        BoundedAcceptor(Executor threads, NioProcessor processor, int most, boolean beside) {
             super(threads, processor);
             this.most = most;
+            this.beside = beside;
+            shared = processor;
+        }
+
+        /** Two processes of one balancer listen at once during an upgrade; the system deals out between them. */
+        @Override
+        protected ServerSocketChannel open(SocketAddress address) throws IOException {
+            ServerSocketChannel listener = ServerSocketChannel.open();
+            try {
+                listener.configureBlocking(false);
+                listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+                listener.setOption(StandardSocketOptions.SO_REUSEPORT, beside);
+                listener.bind(address, getBacklog());
+                listener.register(selector, SelectionKey.OP_ACCEPT);
+                return listener;
+            } catch (IOException e) {
+                listener.close();
+                throw e;
+            }
+        }
+
+        /** Danger: closing a listener resets what has connected and waits in its backlog. */
+        @Override
+        protected void close(ServerSocketChannel listener) throws Exception {
+            for (NioSession session; (session = taken(listener)) != null;) {
+                initSession(session, null, null);
+                shared.add(session);
+            }
+            super.close(listener);
         }
 
         @Override
@@ -186,7 +242,11 @@
                 Thread.sleep(1); // its own thread; what has connected waits in the backlog
                 return null;
             }
-            NioSession session = super.accept(processor, listener);
+            return taken(listener);
+        }
+
+        private NioSession taken(ServerSocketChannel listener) throws Exception {
+            NioSession session = super.accept(shared, listener);
             if (session != null) {
                 open.incrementAndGet();
                 session.getCloseFuture().addListener(future -> open.decrementAndGet());
--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
+import java.util.function.IntSupplier;
 import org.junit.jupiter.api.Test;
 
 class ChoiceTest {
@@ -393,6 +394,41 @@
         }
     }
 
+    /** Danger: the list names an upstream that operators have taken out, as new, or under another index. */
+    @Test
+    void keepsAwayFromWhatIsOutByHandWhateverTheListSays() {
+        Play play = six(Play.settings(1, 0, 2, false, Scope.ALL), 1);
+        int[] calls = new int[1];
+        IntSupplier toU1 = () -> {
+            int to = 0;
+            for (int i = 0; i < 100; i++) {
+                String id = "c" + calls[0]++;
+                play.call(id, "read", 1000 * MS);
+                to += play.calls.get(id).shots.stream().anyMatch(s -> s.upstream.equals("u1")) ? 1 : 0;
+                play.fulfilLater(id, 20 * MS);
+                play.runTo(play.now + 50 * MS);
+            }
+            return to;
+        };
+        assertTrue(toU1.getAsInt() > 10);
+        play.choice.byHand(play.now, "u1", Figures.OUT);
+        assertEquals(0, toU1.getAsInt());
+        play.tell(Form.CHANGES, entry("u1", State.READY, play.now, 0, "a"));
+        assertEquals(0, toU1.getAsInt(), "restarted");
+        play.tell(Form.FULL, entry("u2", State.READY, 0, 0, "a"), entry("u3", State.READY, 0, 0, "a"));
+        play.tell(Form.CHANGES, entry("u9", State.READY, 0, 0, "a"), entry("u1", State.READY, 0, 0, "a"));
+        assertEquals(0, toU1.getAsInt(), "gone and there again");
+        play.choice.byHand(play.now, "u1", play.now);
+        int cold = toU1.getAsInt();
+        assertTrue(cold > 0 && cold < 15, cold + " of 100 calls in 5 s to the one called back");
+        for (String id : List.of("u1", "u2", "u3", "u9")) {
+            play.choice.byHand(play.now, id, Figures.OUT);
+        }
+        play.call("none", "once", 1000 * MS);
+        assertEquals("rate-limited", play.calls.get("none").answer, "with all out it is answered at once");
+        play.settle();
+    }
+
     /** Of so many calls, those to u1, which does as told; the others answer in 20 ms. */
     private static int callsToU1(int calls, BiConsumer<Play, String> does) {
         Play play = six(Play.settings(1, 0, 1, false, Scope.ALL), 1);
--- a/src/test/java/gorsestack/memory/CallsTest.java
+++ b/src/test/java/gorsestack/memory/CallsTest.java
@@ -7,6 +7,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import gorsestack.decision.Upstreams;
+import gorsestack.operate.Handover;
 import gorsestack.serve.Limits;
 import gorsestack.simhost.SettingsReader;
 import gorsestack.wire.Catalog;
@@ -161,6 +162,12 @@
         @Override
         public void listen(InetSocketAddress address, Supplier<Link> given) { }
 
+        @Override
+        public void listenApart(InetSocketAddress address, int most, Supplier<Link> given) { }
+
+        @Override
+        public void bound(int most) { }
+
         @Override
         public void stopAccepting() { }
 
@@ -846,4 +853,48 @@
         other.say(call("once", "e"));
         assertEquals(before + 1, rig.shots().size(), "kept ones again");
     }
+
+    /** Dangers: kept connections to what is out by hand; clients that are sent away and ask nothing more. */
+    @Test
+    void doesWhatOperatorsSay() throws IOException {
+        Rig rig = rig(2);
+        Socket client = rig.client();
+        for (int i = 0; i < 2; i++) {
+            client.say(call("read", "c" + i));
+            rig.last().ok("body");
+            answered(200, client);
+            rig.pass(20);
+        }
+        rig.calls.byHand("s1", Handover.OUT);
+        rig.drain();
+        Socket s1 = rig.shots().stream().filter(s -> s.to.getHostString().equals("127.0.1.1")).findFirst().orElseThrow();
+        assertFalse(s1.open);
+        client.say(call("read", "c2"));
+        rig.last().ok("body");
+        answered(200, client);
+        rig.calls.away(true);
+        Socket idle = rig.client();
+        idle.say("GET /_health HTTP/1.1\r\n\r\n");
+        assertTrue(idle.out.startsWith("HTTP/1.1 503 ") && idle.out.contains("Connection: close"), idle.out);
+        Socket silent = rig.client();
+        client.say(call("read", "c3") + call("read", "c4"));
+        rig.last().ok("body");
+        rig.drain();
+        assertTrue(client.open, "a call sent ahead is not closed on");
+        answered(200, client);
+        rig.last().ok("body");
+        rig.drain();
+        assertFalse(client.open, "closed with its answer");
+        rig.pass(3_500);
+        assertFalse(silent.open);
+        assertFalse(rig.calls.ready());
+        rig.calls.away(false);
+        assertTrue(rig.calls.ready());
+        client = rig.client();
+        client.say(call("read", "c5"));
+        rig.last().ok("body");
+        answered(200, client);
+        rig.pass(4_000);
+        assertTrue(client.open, "back to work");
+    }
 }
--- /dev/null
+++ b/src/test/java/gorsestack/operate/ManagementTest.java
@@ -0,0 +1,158 @@
+package gorsestack.operate;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gorsestack.memory.OwnerThread;
+import gorsestack.serve.Limits;
+import gorsestack.wire.MinaNetwork;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The operators' side on loopback, before a balancer that only takes notes. */
+class ManagementTest {
+    @TempDir
+    private Path folder;
+    private final OwnerThread owner = new OwnerThread();
+    private final Map<String, Long> told = new ConcurrentSkipListMap<>();
+    private volatile boolean away;
+    private InetSocketAddress address;
+
+    private Handover handover(Management to) {
+        return new Handover(folder, "n1", owner, new Handover.Listener() {
+            @Override
+            public void byHand(String upstream, long back) {
+                to.told(upstream, back);
+            }
+
+            @Override
+            public void beside(boolean another) { }
+        });
+    }
+
+    private void start() throws IOException {
+        Limits limits = Limits.of(new ObjectMapper().readTree("{}"), new ObjectMapper().readTree("{}"));
+        Management management = new Management(limits, owner, new Management.Balancer() {
+            @Override
+            public boolean ready() {
+                return !away;
+            }
+
+            @Override
+            public boolean knows(String upstream) {
+                return upstream.equals("s/1 é+");
+            }
+
+            @Override
+            public void byHand(String upstream, long back) {
+                told.put(upstream, back);
+            }
+
+            @Override
+            public void away(boolean isAway) {
+                away = isAway;
+            }
+        });
+        management.keep(handover(management));
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            address = new InetSocketAddress(any.getInetAddress(), any.getLocalPort());
+        }
+        new MinaNetwork(limits, owner).listenApart(address, limits.operators() + 4, management::caller);
+    }
+
+    /** What a caller is answered, as its status. */
+    private String ask(String bytes) throws IOException {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(1_000);
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            return answer.split(" ")[1];
+        }
+    }
+
+    private String call(String what) throws IOException {
+        return ask(what + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+
+    @Test
+    void doesTheFiveCallsAndTurnsDownWhatIsNone() throws IOException {
+        start();
+        String[][] rows = {{"GET /healthcheck", "200"}, {"PUT /healthcheck/fail", "200"}, {"PUT /healthcheck/fail", "200"},
+            {"GET /healthcheck", "503"}, {"PUT /healthcheck/ok", "200"}, {"GET /healthcheck", "200"},
+            {"PUT /healthcheck", "405"}, {"GET /healthcheck/fail", "405"}, {"GET /", "404"}, {"GET /healthcheck/", "404"},
+            {"PUT /upstreams/s2/maint", "404"}, {"PUT /upstreams/s2/ready", "404"}, {"PUT /upstreams/%zz/maint", "400"},
+            {"PUT /upstreams//maint", "404"}, {"POST /upstreams/s%2F1%20%C3%A9+/maint", "405"},
+            {"PUT /upstreams/s%252F1%20%C3%A9+/maint", "404"}};
+        for (String[] row : rows) {
+            assertEquals(row[1], call(row[0]), row[0]);
+        }
+        assertEquals("400", ask("noise\r\n\r\n"));
+        assertEquals("431", ask("GET /" + "x".repeat(20_000)));
+        assertEquals("400", ask("PUT /healthcheck/fail HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"));
+        assertEquals(Map.of(), told);
+        assertTrue(!away);
+        String id = "PUT /upstreams/s%2F1%20%C3%A9+/";
+        assertEquals("200", call(id + "ready"));
+        assertEquals(Map.of(), told, "back with nothing out is a yes that changes nothing");
+        assertEquals("200", call(id + "maint"));
+        assertEquals("200", call(id + "maint"));
+        assertEquals(Map.of("s/1 é+", Handover.OUT), told);
+        assertEquals("200", call(id + "ready"));
+        assertTrue(told.get("s/1 é+") < Handover.OUT, "one call back undoes both");
+    }
+
+    /** Danger: callers that say nothing or half a call, by hundreds. */
+    @Test
+    void answersAtOnceBesideCallersThatAreStuck() throws IOException {
+        start();
+        List<Socket> stuck = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            Socket socket = new Socket(address.getAddress(), address.getPort());
+            stuck.add(socket);
+            try {
+                socket.getOutputStream().write(i % 2 == 0 ? new byte[0] : "PUT /heal".getBytes(StandardCharsets.US_ASCII));
+            } catch (IOException e) {
+                // closed for one after it
+            }
+            if (i % 20 == 19) {
+                assertEquals("200", call("GET /healthcheck"));
+            }
+        }
+        for (Socket socket : stuck) {
+            socket.close();
+        }
+    }
+
+    /** What was said outlives its process; of a damaged file what can be read is taken. */
+    @Test
+    void keepsWhatWasSaidForTheNextProcess() throws Exception {
+        start();
+        assertEquals("200", call("PUT /upstreams/s%2F1%20%C3%A9+/maint"));
+        Path state = folder.resolve("gorsestack-n1.state");
+        String whole = Files.readString(state);
+        String[][] rows = {{whole, "{s/1 é+=" + Handover.OUT + "}"}, {whole.replace("end\n", ""), "{s/1 é+=" + Handover.OUT + "}"},
+            {whole.substring(0, whole.length() - 8), "{}"}, {"", "{}"}, {"\0\0\0", "{}"},
+            {whole.replace("hand 1", "hand 2"), "{}"},
+            {whole.replace("out ", "out %zz\nback x y\nout "), "{s/1 é+=" + Handover.OUT + "}"}};
+        for (String[] row : rows) {
+            Files.writeString(state, row[0]);
+            start();
+            assertEquals("200", call("GET /healthcheck")); // behind what was read
+            assertEquals(row[1], told.toString(), row[0]);
+            told.clear();
+        }
+    }
+}
