--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -34,17 +34,18 @@
     private final double part;
     private final boolean reported;
     private final double meanSlo;
+    /** This process's part of rooms and cold budgets: all, or half beside another one of this balancer. */
+    private double share = 1;
     private double work;
     /** One draw a shot: drawn again for each group, hardly any would be turned away, and most would cross. */
     private double luck;
     private double callsLately;
-    private long calledAt;
     private final double byValue;
     private double bestValue = 1e-9;
-    private long tokens;
     private double copies;
-
     private long now;
+    private long calledAt;
+    private long tokens;
 
     final Figures up = new Figures();
 
@@ -119,6 +120,14 @@
         }
     }
 
+    /** Danger: two processes in an upgrade that each act as the whole balancer. */
+    public void share(long at, double to) {
+        now = at;
+        Arrays.stream(groups).forEach(g -> g.room *= to / share);
+        share = to;
+        regroup();
+    }
+
     private void regroup() {
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
@@ -137,7 +146,7 @@
             }
             // This balancer's part: those of a zone share its upstreams, all share the others. Three calls an
             // upstream hardly wait, as part of their time is spent a tier below; four at the start jam none.
-            g.least = 3 * n * (i == 0 ? part : 1.0 / settings.instances());
+            g.least = 3 * n * share * (i == 0 ? part : 1.0 / settings.instances());
             g.room = g.room == 0 ? 1.4 * g.least : Math.max(g.room, g.least);
         }
     }
@@ -146,10 +155,7 @@
         boolean known = up.index.containsKey(e.id());
         int u = up.of(e.id());
         if (!known) {
-            int zones = settings.zones().size();
-            int zone = settings.zones().indexOf(e.zone());
-            int own = Math.max(0, settings.zones().indexOf(settings.zone()));
-            up.group[u] = zone < 0 ? zones : (zone - own + zones) % zones;
+            up.group[u] = settings.group(e.zone());
             up.turn[u] = chance.next();
             up.alike[u] = up.kind(up.group[u], e.kind(), e.weight());
         }
@@ -306,12 +312,8 @@
 
     /** Sums up what is reported of a group; full is half more than the work itself, 0.4 to 0.6 SLOs. */
     private void look(Group g) {
-        double does = 1e-9;
-        double n = 1e-9;
-        double crowd = 0;
-        double late = 0;
-        double bare = 0;
-        double draws = 1e-9;
+        double does = 1e-9, n = 1e-9, draws = 1e-9;
+        double crowd = 0, late = 0, bare = 0;
         for (int u : g.members) {
             if (up.newsAt[u] > 0 && up.slowness[u] > 0 && !up.sick[u]) {
                 double load = up.held[u] / up.size(u);
@@ -681,7 +683,7 @@
         Group own = groups[up.group[u]];
         double ofOwn = own.answeredNow(now, settings.rules().cold()) / Math.max(1, own.warm);
         double each = Math.max(all / Math.max(1, warm), ofOwn);
-        double rate = Math.max(4e9 * each / settings.rules().cold(), 1.0 / settings.instances());
+        double rate = Math.max(4e9 * each / settings.rules().cold(), share / settings.instances());
         double age = (now - up.startedAt(u)) / (double) settings.rules().cold();
         double share = settings.rules().coldShare() + (1 - settings.rules().coldShare()) * age;
         double often = rate * share * 0.3 * settings.rules().fallMultiple();
--- a/src/main/java/gorsestack/decision/Settings.java
+++ b/src/main/java/gorsestack/decision/Settings.java
@@ -26,6 +26,13 @@
     /** Which upstreams drop a repeat of a deduplicated call. */
     public enum Scope { ALL, ZONE, CELL }
 
+    /** The place of a zone's group: the own one first, the others in their order from there, last an unknown one. */
+    int group(String of) {
+        int own = Math.max(0, zones.indexOf(zone));
+        int place = zones.indexOf(of);
+        return place < 0 ? zones.size() : (place - own + zones.size()) % zones.size();
+    }
+
     public record Product(String name, Repeat repeat, Scope scope, long repeatWindow, long slo,
             long clientTimeout, double billedValue, double lateBilledValue) { }
 
--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -382,9 +382,13 @@
         ready = true;
     }
 
-    /** SIGTERM: no new connections are wanted; those there are go on until they are left, calls until the last answer. */
-    public void end(long last) {
+    /**
+     * SIGTERM: no new connections are wanted; those there are go on until they are left, calls until the last answer.
+     * Where another process listens by then, clients leave with their next answer.
+     */
+    public void end(long last, boolean succeeded) {
         ending = true;
+        leaving = succeeded;
         lastAnswer = last;
         LOG.log(System.Logger.Level.INFO, "ending; {0} calls held", byClient.size());
     }
@@ -433,6 +437,14 @@
         }
     }
 
+    /** Another process of this balancer runs beside this one, or no longer: both have half of everything. */
+    public void beside(boolean another) {
+        choice.share(tick(), another ? 0.5 : 1);
+        pool.bound(limits.upstreamConnections() / (another ? 2 : 1));
+        mostClients = limits.clientConnections() / (another ? 2 : 1);
+        makeRoom();
+    }
+
     private void quiet() {
         if (clients.isEmpty()) {
             Runnable quiet = whenQuiet;
--- a/src/main/java/gorsestack/operate/Handover.java
+++ b/src/main/java/gorsestack/operate/Handover.java
@@ -15,9 +15,11 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /**
  * What two processes of one balancer share during an upgrade: what operators said, in one small file, and who else is
@@ -113,32 +115,43 @@
         return another;
     }
 
-    /** Whether a later process of this balancer has opened its listener. */
+    /** Whether a later process of this balancer has opened its listener, by now. */
     public boolean successor() {
+        wait(this::look);
         return successor;
     }
 
+    /** Danger: asked to end a moment after the other process opened; what was seen last is not enough. */
+    private void wait(Runnable task) {
+        try {
+            thread.submit(task).get(LOOK_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.log(System.Logger.Level.WARNING, "the other process was not seen in time: {0}", e.toString());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Looks after the other process from now on. */
     public void start() {
-        if (locks != null) {
-            thread.scheduleWithFixedDelay(this::look, 0, LOOK_MS, TimeUnit.MILLISECONDS);
-        }
+        thread.scheduleWithFixedDelay(this::look, 0, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** This process serves clients by now. */
+    /** This process takes in clients by now. */
     public void open() {
         if (locks != null) {
-            thread.execute(() -> {
-                try {
-                    locks.lock(place + 1, 1, false);
-                } catch (IOException e) {
-                    LOG.log(System.Logger.Level.WARNING, "not seen as open: {0}", e.toString());
-                }
-            });
+            try {
+                locks.lock(place + 1, 1, false);
+            } catch (IOException e) {
+                LOG.log(System.Logger.Level.WARNING, "not seen as open: {0}", e.toString());
+            }
         }
     }
 
     private void look() {
+        if (locks == null) {
+            return;
+        }
         boolean before = another;
         boolean later = held(place + 2, END);
         boolean open = false;
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -26,6 +26,7 @@
     private final Network network;
     private Calls calls;
     private Handover handover;
+    private boolean besideAnother;
 
     private Service(Path file) throws IOException {
         this.file = file;
@@ -53,8 +54,16 @@
                         }
 
                         @Override
-                        public void beside(boolean another) { }
+                        public void beside(boolean another) {
+                            calls.beside(another);
+                            network.bound(limits.mostAccepted() / (another ? 2 : 1));
+                        }
                     });
+            besideAnother = handover.predecessor();
+            if (besideAnother) {
+                owner.execute(() -> calls.beside(true));
+                network.bound(limits.mostAccepted() / 2);
+            }
             management.keep(handover);
             network.listenApart(configuration.mgmt(), limits.operators() + 4, management::caller);
             handover.start();
@@ -67,9 +76,18 @@
         Signal.handle(new Signal("HUP"), signal -> reload());
         Signal.handle(new Signal("TERM"), signal -> end());
         Signal.handle(new Signal("INT"), signal -> end());
-        network.listen(configuration.listen(), () -> new ClientConnection(limits, owner, calls));
+        // Danger: beside another process the system deals clients out to both as soon as this one listens, cold as it is.
+        if (!besideAnother) {
+            network.listen(configuration.listen(), () -> new ClientConnection(limits, owner, calls));
+        }
         WarmUp.calls(limits, configuration.settings(), limits.warmUp());
-        WarmUp.sockets(network, owner, configuration.listen(), limits.warmUp());
+        WarmUp.sockets(network, owner, besideAnother ? configuration.mgmt() : configuration.listen(), limits.warmUp());
+        if (besideAnother) {
+            network.listen(configuration.listen(), () -> new ClientConnection(limits, owner, calls));
+        }
+        if (handover != null) {
+            handover.open();
+        }
         owner.execute(calls::open);
         LOG.log(System.Logger.Level.INFO, "{0} is ready on {1}", configuration.name(), configuration.listen());
     }
@@ -94,11 +112,12 @@
     private void end() {
         Limits limits = configuration.limits();
         long told = owner.now();
-        owner.execute(() -> calls.end(told + limits.endAfterTerm() - limits.wayOut()));
-        owner.at(told + limits.acceptAfterTerm(), () -> {
-            network.stopAccepting();
-            calls.whenQuiet(ended::countDown);
-        });
+        // A successor takes all that comes from now on; without one, the front goes on sending for a while.
+        boolean succeeded = handover != null && handover.successor();
+        owner.execute(() -> calls.end(told + limits.endAfterTerm() - limits.wayOut(), succeeded));
+        owner.at(told + (succeeded ? 0 : limits.acceptAfterTerm()), network::stopAccepting);
+        // Behind what was taken in last.
+        owner.at(told + limits.acceptAfterTerm(), () -> calls.whenQuiet(ended::countDown));
         owner.at(told + limits.serveAfterTerm(), calls::leave);
         try {
             ended.await(limits.endAfterTerm(), TimeUnit.NANOSECONDS);
--- a/src/test/java/gorsestack/memory/CallsTest.java
+++ b/src/test/java/gorsestack/memory/CallsTest.java
@@ -538,7 +538,7 @@
         Socket idle = rig.client();
         Socket busy = rig.client();
         busy.say(call("once", "c"));
-        rig.calls.end(rig.now + 1_500 * MS);
+        rig.calls.end(rig.now + 1_500 * MS, false);
         Socket late = rig.client();
         late.say("GET /_health HTTP/1.1\r\n\r\n");
         answered(503, late);
@@ -566,7 +566,7 @@
     void endsACallTakenLateBeforeTheEnd() throws IOException {
         Rig rig = rig(1);
         Socket client = rig.client();
-        rig.calls.end(rig.now + 900 * MS);
+        rig.calls.end(rig.now + 900 * MS, false);
         client.say(call("once", "c"));
         rig.pass(840);
         assertEquals("", client.out);
@@ -579,7 +579,7 @@
     void answersACallThatCrossesTheClosing() throws IOException {
         Rig rig = rig(1);
         Socket client = rig.client();
-        rig.calls.end(Long.MAX_VALUE);
+        rig.calls.end(Long.MAX_VALUE, false);
         byte[] read = call("read", "c").getBytes(StandardCharsets.US_ASCII);
         rig.execute(() -> {
             rig.execute(() -> client.link.received(read, rig.now)); // read by now, and waiting its turn
--- /dev/null
+++ b/src/test/java/gorsestack/serve/UpgradeTest.java
@@ -0,0 +1,169 @@
+package gorsestack.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two real processes of one balancer on loopback, under calls. */
+class UpgradeTest {
+    private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    @TempDir
+    private Path folder;
+    private final List<Process> started = new ArrayList<>();
+    private final AtomicInteger[] to = {new AtomicInteger(), new AtomicInteger(), new AtomicInteger()};
+    private final List<HttpServer> upstreams = new ArrayList<>();
+
+    @AfterEach
+    void end() {
+        started.forEach(Process::destroyForcibly);
+        upstreams.forEach(u -> u.stop(0));
+    }
+
+    private static int port() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
+    private Process run(int mgmt, String memory) throws Exception {
+        ProcessBuilder run = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), memory,
+                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "gorsestack.Main", "serve");
+        run.environment().put("ROUTER_CONFIG", folder.resolve("config.json").toString());
+        run.environment().put("ROUTER_MGMT", "127.0.0.1:" + mgmt);
+        run.environment().put("TMPDIR", folder.toString());
+        Process process = run.redirectErrorStream(true).redirectOutput(folder.resolve("log" + mgmt).toFile()).start();
+        started.add(process);
+        until("ready", () -> process.isAlive() && ask(mgmt, "GET", "/healthcheck") == 200);
+        return process;
+    }
+
+    private static int ask(int mgmt, String method, String path) {
+        try {
+            return HTTP.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + mgmt + path)).timeout(Duration.ofSeconds(1))
+                    .method(method, HttpRequest.BodyPublishers.noBody()).build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+        } catch (IOException e) {
+            return 0;
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void until(String what, BooleanSupplier is) throws InterruptedException {
+        long end = System.nanoTime() + 20_000_000_000L;
+        while (!is.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, what);
+            Thread.sleep(20);
+        }
+    }
+
+    private int configure() throws Exception {
+        StringBuilder known = new StringBuilder();
+        for (int i = 0; i < to.length; i++) {
+            int n = i;
+            HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100);
+            server.createContext("/", exchange -> {
+                to[n].incrementAndGet();
+                exchange.getRequestBody().readAllBytes();
+                exchange.sendResponseHeaders(200, 2);
+                exchange.getResponseBody().write(new byte[] {'o', 'k'});
+                exchange.close();
+            });
+            server.start();
+            upstreams.add(server);
+            known.append(i == 0 ? "" : ",").append("{\"name\":\"s" + i + "\",\"address\":\"127.0.0.1:" + server.getAddress().getPort()
+                    + "\",\"zone\":\"a\",\"status\":\"in_service\"}");
+        }
+        int port = port();
+        String example = Files.readString(Path.of("deploy/example.json"));
+        Files.writeString(folder.resolve("config.json"), example.replace("127.0.0.1:18000", "127.0.0.1:" + port)
+                .replace("127.0.0.1:18500", "127.0.0.1:" + port()).replaceFirst("(?s)\"endpoints\": \\[.*?\\]",
+                        "\"endpoints\": [" + known + "]"));
+        return port;
+    }
+
+    /** Bans go over and both processes hear of them; no call is lost at the old one's end. */
+    @Test
+    void aSecondProcessTakesOverUnderCalls() throws Exception {
+        int port = configure();
+        int first = port();
+        int second = port();
+        Process old = run(first, "-Xmx40m");
+        AtomicBoolean over = new AtomicBoolean();
+        AtomicInteger served = new AtomicInteger();
+        List<String> wrongs = new ArrayList<>();
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            String name = "c" + i + "-";
+            clients.add(new Thread(() -> {
+                HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+                for (int n = 0; !over.get(); n++) {
+                    try {
+                        HttpResponse<String> answer = http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/read"))
+                                .header("X-Correlation-Id", name + n).header("X-Time-Left", "2000m").timeout(Duration.ofSeconds(5))
+                                .build(), HttpResponse.BodyHandlers.ofString());
+                        if (answer.statusCode() == 200) {
+                            served.incrementAndGet();
+                        }
+                        Thread.sleep(10);
+                    } catch (IOException | InterruptedException e) {
+                        synchronized (wrongs) {
+                            wrongs.add(name + n + ": " + e);
+                        }
+                    }
+                }
+            }));
+        }
+        clients.forEach(Thread::start);
+        until("all three serve", () -> to[0].get() > 5 && to[1].get() > 5 && to[2].get() > 5);
+        assertEquals(200, ask(first, "PUT", "/upstreams/s0/maint"));
+        run(second, "-Xmx40m");
+        assertEquals(200, ask(second, "PUT", "/upstreams/s1/maint"));
+        Thread.sleep(600);
+        int[] before = {to[0].get(), to[1].get(), to[2].get()};
+        Thread.sleep(600);
+        assertEquals(before[0], to[0].get(), "out before the second process began");
+        assertEquals(before[1], to[1].get(), "out by a word to the second process, both of them");
+        assertTrue(to[2].get() > before[2]);
+        assertEquals(200, ask(first, "GET", "/healthcheck"));
+        old.destroy();
+        assertTrue(old.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(0, old.exitValue());
+        assertEquals(200, ask(second, "PUT", "/upstreams/s0/ready"));
+        until("back", () -> to[0].get() > before[0]);
+        assertEquals(before[1], to[1].get());
+        over.set(true);
+        for (Thread client : clients) {
+            client.join(10_000);
+        }
+        assertEquals(List.of(), wrongs);
+        assertTrue(served.get() > 100, served + " served");
+        // The next one begins with what was said, whatever became of the one before.
+        started.get(1).destroyForcibly().waitFor();
+        int third = port();
+        run(third, "-Xmx40m");
+        assertEquals(200, ask(third, "PUT", "/upstreams/s1/ready"));
+        assertEquals(2, Files.list(folder).filter(f -> f.getFileName().toString().startsWith("gorsestack-")).count());
+    }
+}
