--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -33,6 +33,9 @@
 public final class Calls implements Outgoing, ClientConnection.Intake, Discovery.Listener, Management.Balancer {
     private static final System.Logger LOG = System.getLogger("gorsestack.calls");
 
+    /** What a process that has been succeeded keeps of its rooms and budgets, for those that are still connected. */
+    private static final double REST = 0.25;
+
     private static final class Call {
         String id;
         ClientConnection client;
@@ -437,6 +440,9 @@
     public void end(long last, boolean succeeded) {
         ending = true;
         leaving = succeeded;
+        if (succeeded) {
+            choice.share(tick(), REST);
+        }
         lastAnswer = last;
         LOG.log(System.Logger.Level.INFO, "ending; {0} calls held", byClient.size());
     }
@@ -485,9 +491,14 @@
         }
     }
 
-    /** Another process of this balancer runs beside this one, or no longer: both have half of everything. */
-    public void beside(boolean another) {
-        choice.share(tick(), another ? 0.5 : 1);
+    /**
+     * Another process of this balancer runs beside this one, or no longer: both have half of the connections, and half
+     * of rooms and budgets while both take in clients.
+     */
+    public void beside(boolean another, boolean open) {
+        if (!ending) {
+            choice.share(tick(), open ? 0.5 : 1);
+        }
         pool.bound(limits.upstreamConnections() / (another ? 2 : 1));
         mostClients = limits.clientConnections() / (another ? 2 : 1);
         makeRoom();
--- a/src/main/java/gorsestack/operate/Handover.java
+++ b/src/main/java/gorsestack/operate/Handover.java
@@ -31,8 +31,8 @@
         /** Said by hand, here or to the other process: when that upstream was called back, or OUT. */
         void byHand(String upstream, long back);
 
-        /** Another process of this balancer runs, or no longer does. */
-        void beside(boolean another);
+        /** Whether another process of this balancer runs, and whether that one takes in clients too. */
+        void beside(boolean another, boolean open);
     }
 
     /** Called back never, so far. */
@@ -61,6 +61,8 @@
     private long place;
     private String read = "";
     private boolean another;
+    private boolean otherOpen;
+    private FileLock opened;
     private volatile boolean successor;
 
     /** In this folder, which both processes see; name tells this balancer from others there. */
@@ -141,37 +143,58 @@
     public void open() {
         if (locks != null) {
             try {
-                locks.lock(place + 1, 1, false);
+                opened = locks.lock(place + 1, 1, false);
             } catch (IOException e) {
                 LOG.log(System.Logger.Level.WARNING, "not seen as open: {0}", e.toString());
             }
         }
     }
 
+    /** This process takes in none any more. */
+    public void close() {
+        try {
+            if (opened != null) {
+                opened.release();
+            }
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "not seen as closed: {0}", e.toString());
+        }
+    }
+
     private void look() {
         if (locks == null) {
             return;
         }
         boolean before = another;
         boolean later = held(place + 2, END);
-        boolean open = false;
+        boolean openBefore = otherOpen;
         // Danger: a successor that is not open yet must not be left alone with the clients.
-        for (long p = place + 2; later && p < place + 16 && !open; p += 2) {
-            open = held(p + 1, p + 2);
-        }
-        successor = open;
+        successor = later && anyOpen(place + 2, place + 16);
+        otherOpen = successor || anyOpen(Math.max(0, place - 16), place);
         another = later || place > 0 && held(0, place);
+        if (another != before || otherOpen != openBefore) {
+            boolean there = another;
+            boolean open = otherOpen;
+            owner.execute(() -> listener.beside(there, open));
+        }
         if (another != before) {
             LOG.log(System.Logger.Level.INFO, another ? "another process of this balancer runs"
                     : "the only process of this balancer");
-            boolean now = another;
-            owner.execute(() -> listener.beside(now));
         }
         if (another || before) {
             load();
         }
     }
 
+    private boolean anyOpen(long from, long to) {
+        for (long p = from; p < to; p += 2) {
+            if (held(p + 1, p + 2)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Danger: the yes to an operator must hold over a kill of this process; it is said once the file is there. */
     public void said(String upstream, long back, Runnable then) {
         thread.execute(() -> {
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -54,14 +54,14 @@
                         }
 
                         @Override
-                        public void beside(boolean another) {
-                            calls.beside(another);
+                        public void beside(boolean another, boolean open) {
+                            calls.beside(another, open);
                             network.bound(limits.mostAccepted() / (another ? 2 : 1));
                         }
                     });
             besideAnother = handover.predecessor();
             if (besideAnother) {
-                owner.execute(() -> calls.beside(true));
+                owner.execute(() -> calls.beside(true, true));
                 network.bound(limits.mostAccepted() / 2);
             }
             management.keep(handover);
@@ -114,6 +114,9 @@
         long told = owner.now();
         // A successor takes all that comes from now on; without one, the front goes on sending for a while.
         boolean succeeded = handover != null && handover.successor();
+        if (succeeded) {
+            handover.close();
+        }
         owner.execute(() -> calls.end(told + limits.endAfterTerm() - limits.wayOut(), succeeded));
         owner.at(told + (succeeded ? 0 : limits.acceptAfterTerm()), network::stopAccepting);
         // Behind what was taken in last.
--- a/src/test/java/gorsestack/operate/ManagementTest.java
+++ b/src/test/java/gorsestack/operate/ManagementTest.java
@@ -39,7 +39,7 @@
             }
 
             @Override
-            public void beside(boolean another) { }
+            public void beside(boolean another, boolean open) { }
         });
     }
 
