--- a/src/main/java/gorsestack/Main.java
+++ b/src/main/java/gorsestack/Main.java
@@ -10,7 +10,7 @@
 import picocli.CommandLine.Option;
 
 /** The command line. */
-@Command(name = "gorsestack", mixinStandardHelpOptions = true, version = "gorsestack 0.3.0",
+@Command(name = "gorsestack", mixinStandardHelpOptions = true, version = "gorsestack 0.5.0",
         description = "A load balancer for services that call services.", subcommands = {Main.Serve.class, Main.Simhost.class})
 public final class Main implements Callable<Integer> {
 
