A process that takes over begins with what the old one has learnt; bodies need the mean room

Upgrade: checked that the new process starts at 1.4 times its least room, takes three cuts to come down to it and some forty shots to learn that the work itself takes over a third of the SLO. Now the old process writes room, mean, bare mean and answers of each group to the shared file when it sees a younger one, which takes them over. Rejected: passing all figures of each upstream, which age within seconds. Bulk: a line for each client closed on showed no 408 and no drop, only 27 calls turned down at the start of their body; those with 3 s and more to send were closed on. Now one that moves is let finish. A body that still comes is let in by the mean room alone, as the moment tells nothing of when it is whole.

--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -4,8 +4,6 @@
 import gorsestack.decision.Settings.Repeat;
 import gorsestack.decision.Settings.Scope;
 import gorsestack.decision.Upstreams.Entry;
-import gorsestack.decision.Upstreams.Form;
-import gorsestack.decision.Upstreams.State;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -31,21 +29,14 @@
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<Long, Call> byToken = new HashMap<>();
     private final Chance chance;
-    private final double part;
     private final boolean reported;
-    private final double meanSlo;
+    private final double part, meanSlo, byValue;
     /** This process's part of rooms and cold budgets: all, or half beside another one of this balancer. */
     private double share = 1;
-    private double work;
+    private double work, callsLately, copies, bestValue = 1e-9;
     /** One draw a shot: drawn again for each group, hardly any would be turned away, and most would cross. */
     private double luck;
-    private double callsLately;
-    private final double byValue;
-    private double bestValue = 1e-9;
-    private double copies;
-    private long now;
-    private long calledAt;
-    private long tokens;
+    private long now, calledAt, tokens;
 
     final Figures up = new Figures();
 
@@ -79,7 +70,7 @@
         part = Math.min(1, Math.max(1.0, settings.zones().size()) / settings.instances());
         groups = new Group[settings.zones().size() + 1];
         for (int g = 0; g < groups.length; g++) {
-            groups[g] = new Group();
+            groups[g] = new Group(settings.rules().cold());
             groups[g].cursor = (int) (chance.next() * (1 << 20));
         }
         if (settings.asksForList()) {
@@ -90,7 +81,7 @@
 
     public void upstreams(long at, Upstreams news) {
         now = at;
-        if (news.form() == Form.FAILED) {
+        if (news.form() == Upstreams.Form.FAILED) {
             // Danger: untold of a drain for good. Asked again within the time after which it is deemed told,
             // and spread, so that repeats don't sink the list service.
             out.wake(0, now + (long) ((0.2 + 0.4 * chance.next()) * settings.rules().askWithin()));
@@ -101,7 +92,7 @@
             named[learn(e)] = true;
         }
         for (int u = 0; u < up.size; u++) {
-            up.entry[u] = named[u] || news.form() == Form.CHANGES ? up.entry[u] : up.entry[u].gone();
+            up.entry[u] = named[u] || news.changes() ? up.entry[u] : up.entry[u].gone();
             if (up.over(u)) {
                 mark(u, false);
                 up.release(u);
@@ -128,6 +119,18 @@
         regroup();
     }
 
+    /** What a process that takes over begins with. Without it, it turns calls away for some seconds. */
+    public double[][] learnt() {
+        return Arrays.stream(groups).map(g -> g.learnt(now)).toArray(double[][]::new);
+    }
+
+    public void learnt(long at, double[][] told) {
+        now = at;
+        for (int i = 0; i < Math.min(told.length, groups.length); i++) {
+            groups[i].begin(told[i], now, share);
+        }
+    }
+
     private void regroup() {
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
@@ -161,7 +164,7 @@
         }
         Entry before = up.entry[u];
         up.entry[u] = e;
-        if (!known || before.startedAt() != e.startedAt() || before.state() == State.GONE) {
+        if (!known || before.startedAt() != e.startedAt() || before.state() == Upstreams.State.GONE) {
             restarted(u);
         }
         return u;
@@ -196,7 +199,7 @@
         }
     }
 
-    /** A client's call; left is the time until the client gives up, below 0 untold, MAX while its body comes. */
+    /** A client's call; left is the time until the client gives up, below 0 untold, MAX: a body comes. */
     public void apiCall(long at, String id, String product, String tenant, long left) {
         now = at;
         Call c = new Call();
@@ -361,7 +364,7 @@
             mark(u, up.sick[u] && late);
             // Three copies for a hundred answers: the design expects slow ones at one in some hundreds.
             copies = Math.min(10, copies + 0.03);
-            g.answered = g.answeredNow(now, settings.rules().cold()) + 1;
+            g.answered = g.answeredNow(now) + 1;
             g.answeredAt = now;
         } else if (++up.straightFailures[u] >= 3) {
             mark(u, true);
@@ -557,7 +560,8 @@
         g.hold(now, c.product, 0);
         double inTime = Math.min(1, (c.end - now) / (double) c.product.slo());
         double room = g.room * inTime * (1 - byValue * (1 - c.product.billedValue() / bestValue));
-        return g.heldLately < room && g.held < room + Math.sqrt(room * (1 - part));
+        // A body that still comes needs the room of later on; the mean tells more of that than the moment.
+        return g.heldLately < room && (c.coming || g.held < room + Math.sqrt(room * (1 - part)));
     }
 
     /** Picks by rotation in the ordered groups; each level gives up a wish, never a rule. -1 if none. */
@@ -673,14 +677,13 @@
         if (!isCold(u)) {
             return true;
         }
-        double all = 0;
-        int warm = 0;
+        double all = 0, warm = 0;
         for (Group g : groups) {
-            all += g.answeredNow(now, settings.rules().cold());
+            all += g.answeredNow(now);
             warm += g.warm;
         }
         Group own = groups[up.group[u]];
-        double ofOwn = own.answeredNow(now, settings.rules().cold()) / Math.max(1, own.warm);
+        double ofOwn = own.answeredNow(now) / Math.max(1, own.warm);
         double each = Math.max(all / Math.max(1, warm), ofOwn);
         double rate = Math.max(4e9 * each / settings.rules().cold(), share / settings.instances());
         double age = (now - up.startedAt(u)) / (double) settings.rules().cold();
--- a/src/main/java/gorsestack/decision/Group.java
+++ b/src/main/java/gorsestack/decision/Group.java
@@ -1,7 +1,10 @@
 package gorsestack.decision;
 
+import java.util.Arrays;
+
 /** An ordered group of upstreams, a zone's: what is kept in sums so that no call walks the fleet. */
 final class Group {
+    private final long cold;
     int[] members = {};
     int cursor;
     int held;
@@ -27,6 +30,26 @@
     double answered;
     long answeredAt;
 
+    Group(long cold) {
+        this.cold = Math.max(1, cold);
+    }
+
+    /** What another process of this balancer may begin with. */
+    double[] learnt(long now) {
+        return new double[] {room, lateness, bare, answeredNow(now)};
+    }
+
+    /** Danger: figures of another version, or out of all proportion. */
+    void begin(double[] told, long now, double share) {
+        if (told.length == 4 && Arrays.stream(told).allMatch(d -> d >= 0 && d < 1e6)) {
+            room = Math.max(least, told[0] * share);
+            lateness = told[1];
+            bare = told[2];
+            answered = told[3];
+            answeredAt = now;
+        }
+    }
+
     /** Counts a shot in or out, and keeps the mean held over the last SLO or so. */
     void hold(long now, Settings.Product product, int change) {
         double weight = Math.exp((heldAt - now) / (double) product.slo());
@@ -36,8 +59,8 @@
     }
 
     /** Its answers, fading over a quarter of the cold time: a few calls long, following the load. */
-    double answeredNow(long now, long cold) {
-        return answered * Math.exp((answeredAt - now) * 4.0 / Math.max(1, cold));
+    double answeredNow(long now) {
+        return answered * Math.exp((answeredAt - now) * 4.0 / cold);
     }
 
     /** Sums up what is reported of its upstreams. */
--- a/src/main/java/gorsestack/decision/Upstreams.java
+++ b/src/main/java/gorsestack/decision/Upstreams.java
@@ -10,6 +10,10 @@
 
     public enum Form { CACHED, FULL, CHANGES, FAILED }
 
+    boolean changes() {
+        return form == Form.CHANGES;
+    }
+
     public enum State { READY, DRAINING, GONE }
 
     /** One upstream; startedAt in nanoseconds of the balancer's clock, 0 when it started long ago. */
--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -504,6 +504,15 @@
         makeRoom();
     }
 
+    /** What the module has learnt, for a process that takes over, and its taking over. */
+    public double[][] learnt() {
+        return choice.learnt();
+    }
+
+    public void learnt(double[][] told) {
+        choice.learnt(tick(), told);
+    }
+
     private void quiet() {
         if (clients.isEmpty()) {
             Runnable quiet = whenQuiet;
--- a/src/main/java/gorsestack/operate/Handover.java
+++ b/src/main/java/gorsestack/operate/Handover.java
@@ -12,7 +12,10 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutionException;
@@ -33,6 +36,12 @@
 
         /** Whether another process of this balancer runs, and whether that one takes in clients too. */
         void beside(boolean another, boolean open);
+
+        /** What this process has learnt, as rows of figures. */
+        double[][] learnt();
+
+        /** What an older process of this balancer has learnt. */
+        void learnt(double[][] told);
     }
 
     /** Called back never, so far. */
@@ -62,6 +71,8 @@
     private String read = "";
     private boolean another;
     private boolean otherOpen;
+    private boolean younger;
+    private double[][] learnt = {};
     private FileLock opened;
     private volatile boolean successor;
 
@@ -169,6 +180,13 @@
         boolean later = held(place + 2, END);
         boolean openBefore = otherOpen;
         // Danger: a successor that is not open yet must not be left alone with the clients.
+        if (later && !younger) {
+            owner.execute(() -> {
+                double[][] rows = listener.learnt();
+                thread.execute(() -> pass(rows));
+            });
+        }
+        younger = later;
         successor = later && anyOpen(place + 2, place + 16);
         otherOpen = successor || anyOpen(Math.max(0, place - 16), place);
         another = later || place > 0 && held(0, place);
@@ -214,11 +232,27 @@
         });
     }
 
+    /** A process that takes over begins with what this one has learnt. */
+    private void pass(double[][] rows) {
+        try (FileLock writing = locks.lock(WRITING, 1, false)) {
+            load();
+            learnt = rows;
+            write();
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "what was learnt is not passed on: {0}", e.toString());
+        }
+    }
+
     private void write() throws IOException {
         StringBuilder text = new StringBuilder(FORM + "\n");
         known.values().removeIf(back -> back != OUT && back < owner.now() - FORGET);
         new TreeMap<>(known).forEach((name, back) -> text.append(back == OUT ? "out" : "back " + back).append(' ')
                 .append(URLEncoder.encode(name, StandardCharsets.UTF_8)).append('\n'));
+        for (double[] row : learnt) {
+            text.append("learnt");
+            Arrays.stream(row).forEach(figure -> text.append(' ').append(figure));
+            text.append('\n');
+        }
         read = text.append("end\n").toString();
         Path fresh = state.resolveSibling(state.getFileName() + ".new");
         Files.writeString(fresh, read);
@@ -242,16 +276,26 @@
         boolean whole = good && lines[lines.length - 1].equals("end") && text.endsWith("\n");
         // A last line without its end may be cut in the middle of a name.
         int until = whole ? lines.length - 1 : text.endsWith("\n") ? lines.length : lines.length - 1;
+        List<double[]> rows = new ArrayList<>();
         for (int i = 1; good && i < until; i++) {
-            whole &= line(lines[i].split(" "));
+            whole &= line(lines[i].split(" "), rows);
+        }
+        learnt = rows.toArray(double[][]::new);
+        // Danger: rows of long ago, read at a start without a process that wrote them.
+        if (another && !younger && learnt.length > 0) {
+            owner.execute(() -> listener.learnt(rows.toArray(double[][]::new)));
         }
         if (!whole) {
             LOG.log(System.Logger.Level.WARNING, "{0} is damaged or of another version; taken is what can be read", state);
         }
     }
 
-    private boolean line(String[] words) {
+    private boolean line(String[] words, List<double[]> rows) {
         try {
+            if (words[0].equals("learnt")) {
+                rows.add(Arrays.stream(words).skip(1).mapToDouble(Double::parseDouble).toArray());
+                return true;
+            }
             boolean out = words.length == 2 && words[0].equals("out");
             if (!out && !(words.length == 3 && words[0].equals("back"))) {
                 return false;
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -33,7 +33,6 @@
         long mistrust,
         long restOfAnswer,
         long restOfStream,
-        long restOfUpload,
         long acceptAfterTerm,
         long serveAfterTerm,
         long endAfterTerm,
@@ -115,8 +114,6 @@
                 250 * MS,
                 // What has begun to go on can't be had elsewhere; a peer that moves so slowly has stopped.
                 5_000 * MS,
-                // Turned down in the middle of its body, a client is let finish for as long as it may wait.
-                3_000 * MS,
                 // New connections go on coming for 0.2 to 0.4 s after SIGTERM.
                 600 * MS,
                 // What is taken last has half the longest SLO left, and most take less. Till then those connected may
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -58,6 +58,16 @@
                             calls.beside(another, open);
                             network.bound(limits.mostAccepted() / (another ? 2 : 1));
                         }
+
+                        @Override
+                        public double[][] learnt() {
+                            return calls.learnt();
+                        }
+
+                        @Override
+                        public void learnt(double[][] told) {
+                            calls.learnt(told);
+                        }
                     });
             besideAnother = handover.predecessor();
             if (besideAnother) {
--- a/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/src/main/java/gorsestack/wire/ClientConnection.java
@@ -266,7 +266,6 @@
         hold(false);
         List.copyOf(ahead).forEach(c -> discard(c.bytes));
         ahead.clear();
-        owner.at(owner.now() + limits.restOfUpload(), channel::close);
     }
 
     private void discard(byte[] bytes) {
@@ -341,6 +340,9 @@
         if (answering != null && now - movedAt >= limits.restOfStream()) {
             drop(); // takes nothing of what it asked for
         }
+        if (deaf && upload != null && now - movedAt >= limits.standstill()) {
+            channel.close();
+        }
         if (deaf || busy && !uploading() || paused) {
             return;
         }
--- a/src/test/java/gorsestack/operate/ManagementTest.java
+++ b/src/test/java/gorsestack/operate/ManagementTest.java
@@ -16,6 +16,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
@@ -29,6 +30,7 @@
     private final OwnerThread owner = new OwnerThread();
     private final Map<String, Long> told = new ConcurrentSkipListMap<>();
     private volatile boolean away;
+    private volatile String passedOn;
     private InetSocketAddress address;
 
     private Handover handover(Management to) {
@@ -40,6 +42,16 @@
 
             @Override
             public void beside(boolean another, boolean open) { }
+
+            @Override
+            public double[][] learnt() {
+                return new double[][] {{1, 0.5}, {2e-9}};
+            }
+
+            @Override
+            public void learnt(double[][] told) {
+                passedOn = Arrays.deepToString(told);
+            }
         });
     }
 
@@ -136,6 +148,21 @@
         }
     }
 
+    /** A process that takes over begins with what the one before has learnt, and not with rows of long ago. */
+    @Test
+    void passesOnWhatWasLearnt() throws Exception {
+        Management to = new Management(null, owner, null);
+        Handover old = handover(to);
+        old.start();
+        Handover young = handover(to);
+        young.start();
+        for (int n = 0; n < 500 && passedOn == null; n++) {
+            Thread.sleep(10);
+        }
+        assertEquals("[[1.0, 0.5], [2.0E-9]]", passedOn);
+        assertTrue(Files.readString(folder.resolve("gorsestack-n1.state")).contains("learnt 2.0E-9\n"));
+    }
+
     /** What was said outlives its process; of a damaged file what can be read is taken. */
     @Test
     void keepsWhatWasSaidForTheNextProcess() throws Exception {
