A body that still comes keeps no upstream busy; tests of shares, what is learnt, large bodies

Found by the new test: an upstream with an upload under way got none of 60 quick calls beside it, as the shot counted as a crowd against a group that held nothing. It counts from the body's last byte now, as room does. The generated inputs now take upstreams out and back by hand, share rooms, pass on odd figures and send large bodies; the plain model forbids shots to what is out and copies of what is not kept.

--- a/src/main/java/gorsestack/decision/Choice.java
+++ b/src/main/java/gorsestack/decision/Choice.java
@@ -194,6 +194,7 @@
             c.end = now + left - 2 * settings.step();
             c.at[c.shots - 1] = now;
             c.lookAt = now + c.product.slo() / 2;
+            up.inFlight[c.to[c.shots - 1]] += c.out;
             groups[up.group[c.to[c.shots - 1]]].hold(now, c.product, c.out);
             settle(c);
         }
@@ -238,7 +239,7 @@
         c.open[shot] = false;
         c.neverRan[shot] = outcome.provesItNeverRan;
         c.out--;
-        up.inFlight[u]--;
+        up.inFlight[u] -= c.coming ? 0 : 1;
         g.hold(now, c.product, c.coming ? 0 : -1);
         // Over the last eight or so, or the last two SLOs where one of many balancers sees fewer than that:
         // old answers tell nothing of now, and what is noise to one evens out over many.
@@ -490,7 +491,7 @@
         c.shots++;
         c.out++;
         c.lookAt = c.coming ? Long.MAX_VALUE : now + c.product.slo() / 2;
-        up.inFlight[u]++;
+        up.inFlight[u] += c.coming ? 0 : 1;
         up.since[u]++;
         up.remembered[u]++;
         groups[up.group[u]].hold(now, c.product, c.coming ? 0 : 1);
@@ -683,8 +684,7 @@
             warm += g.warm;
         }
         Group own = groups[up.group[u]];
-        double ofOwn = own.answeredNow(now) / Math.max(1, own.warm);
-        double each = Math.max(all / Math.max(1, warm), ofOwn);
+        double each = Math.max(all / Math.max(1, warm), own.answeredNow(now) / Math.max(1, own.warm));
         double rate = Math.max(4e9 * each / settings.rules().cold(), share / settings.instances());
         double age = (now - up.startedAt(u)) / (double) settings.rules().cold();
         double share = settings.rules().coldShare() + (1 - settings.rules().coldShare()) * age;
--- a/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -56,7 +56,17 @@
             for (int i = 0; i < 400; i++) {
                 play.runTo(play.now + r.nextInt(40) * MS);
                 String id = "c" + i;
-                play.call(id, List.of("read", "mark", "once").get(r.nextInt(3)), (1 + r.nextInt(1200)) * MS);
+                long left = (1 + r.nextInt(1200)) * MS;
+                boolean large = r.nextInt(8) == 0;
+                play.call(id, List.of("read", "mark", "once").get(r.nextInt(3)), large ? Long.MAX_VALUE : left);
+                if (large) {
+                    play.at(play.now + r.nextInt(900) * MS, () -> play.whole(id, left));
+                }
+                if (r.nextInt(30) == 0) {
+                    play.byHand("u" + r.nextInt(6), r.nextBoolean());
+                    play.choice.share(play.now, r.nextBoolean() ? 1 : 0.5);
+                    play.choice.learnt(play.now, new double[][] {{r.nextInt(9) - 1, 0.3, 0.2, 5}, {Double.NaN, 1, 1, 1}, {}});
+                }
                 for (int k = 0; k < 4; k++) {
                     int shot = k;
                     Outcome outcome = r.nextDouble() > bad ? Outcome.FULFILLED : Outcome.values()[r.nextInt(10)];
@@ -429,6 +439,53 @@
         play.settle();
     }
 
+    /** Dangers: an upload taken for silence; a copy of a body that is not kept; its time counted from its first byte. */
+    @Test
+    void givesALargeBodyOneShotAndItsTimeFromItsLastByte() {
+        Play play = six(Play.settings(1, 0, 2, false, Scope.ALL), 1);
+        play.call("lost", "read", Long.MAX_VALUE);
+        play.end("lost", 0, Outcome.UNREACHABLE);
+        assertEquals(2, play.calls.get("lost").shots.size(), "all of it is kept so far");
+        play.calls.get("lost").bound = true;
+        play.choice.body(play.now, "lost", -1);
+        play.end("lost", 1, Outcome.UNREACHABLE);
+        assertEquals("rate-limited", play.calls.get("lost").answer);
+        play.call("slow", "read", Long.MAX_VALUE);
+        String to = play.calls.get("slow").shots.get(0).upstream;
+        play.runTo(play.now + 5_000 * MS);
+        int there = 0;
+        for (int i = 0; i < 60; i++) {
+            play.call("c" + i, "once", 1000 * MS);
+            there += play.calls.get("c" + i).shots.get(0).upstream.equals(to) ? 1 : 0;
+            play.fulfilLater("c" + i, 20 * MS);
+            play.runTo(play.now + 30 * MS);
+        }
+        assertTrue(there > 5, there + " calls to the upstream that waits for a body");
+        assertEquals(null, play.calls.get("slow").answer);
+        play.whole("slow", 1000 * MS);
+        play.runTo(play.now + 900 * MS);
+        assertEquals(null, play.calls.get("slow").answer);
+        play.settle();
+        assertEquals(1, play.calls.get("slow").shots.size());
+    }
+
+    /** Danger: two processes of one balancer that each act as the whole; one that takes over and has to learn anew. */
+    @Test
+    void sharesItsRoomsAndPassesOnWhatItLearnt() {
+        Play whole = six(Play.settings(1, 0, 1, false, Scope.ALL), 1);
+        int most = heldDuring(whole, 300, 5 * MS, 600 * MS).getMax();
+        Play half = six(Play.settings(1, 0, 1, false, Scope.ALL), 1);
+        half.choice.share(half.now, 0.5);
+        int mostOfHalf = heldDuring(half, 300, 5 * MS, 600 * MS).getMax();
+        assertTrue(mostOfHalf < 0.7 * most, mostOfHalf + " against " + most);
+        Play old = six(Play.settings(1, 0, 1, false, Scope.ALL), 1);
+        heldDuring(old, 1_500, 10 * MS, 130 * MS);
+        Play young = six(Play.settings(1, 0, 1, false, Scope.ALL), 1);
+        young.choice.learnt(young.now, old.choice.learnt());
+        assertTrue(heldDuring(young, 60, MS, 500 * MS).getMax() > 1.2 * heldDuring(six(Play.settings(1, 0, 1, false, Scope.ALL), 1),
+                60, MS, 500 * MS).getMax());
+    }
+
     /** Of so many calls, those to u1, which does as told; the others answer in 20 ms. */
     private static int callsToU1(int calls, BiConsumer<Play, String> does) {
         Play play = six(Play.settings(1, 0, 1, false, Scope.ALL), 1);
--- a/src/test/java/gorsestack/decision/Play.java
+++ b/src/test/java/gorsestack/decision/Play.java
@@ -7,10 +7,12 @@
 import gorsestack.decision.Settings.Scope;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /** One balancer's surroundings, and beside it a slow and plain model of the rules that tells what is allowed. */
@@ -28,6 +30,7 @@
         String id, answer;
         Product product;
         long from, until, answeredAt, advice;
+        boolean bound;
         List<Shot> shots = new ArrayList<>();
     }
 
@@ -35,6 +38,7 @@
 
     final Map<String, ApiCall> calls = new LinkedHashMap<>();
     final Map<String, Upstreams.Entry> list = new LinkedHashMap<>();
+    final Set<String> out = new HashSet<>();
     final List<String> wrongs = new ArrayList<>();
     final SplittableRandom random;
     final Settings settings;
@@ -92,11 +96,30 @@
         c.id = id;
         c.product = settings.products().stream().filter(p -> p.name().equals(product)).findFirst().orElseThrow();
         c.from = now;
-        c.until = now + left;
+        c.until = left == Long.MAX_VALUE ? left : now + left;
         calls.put(id, c);
         choice.apiCall(now, id, product, "t", left);
     }
 
+    void byHand(String id, boolean isOut) {
+        if (isOut ? out.add(id) : out.remove(id)) {
+            choice.byHand(now, id, isOut ? Figures.OUT : now);
+        }
+    }
+
+    /** The body of a call whose time was not told is whole, and has gone on. */
+    void whole(String id, long left) {
+        ApiCall c = calls.get(id);
+        if (c.answer == null) {
+            c.bound = true;
+            choice.body(now, id, -1);
+        }
+        if (c.answer == null) {
+            c.until = now + left;
+            choice.body(now, id, left);
+        }
+    }
+
     void at(long time, Runnable what) {
         dues.add(new Due(time, order++, what));
     }
@@ -145,6 +168,12 @@
         if (list.get(upstream) == null || list.get(upstream).state() != Upstreams.State.READY) {
             wrong("a shot to a draining or gone upstream", c);
         }
+        if (out.contains(upstream)) {
+            wrong("a shot to an upstream that is out by hand", c);
+        }
+        if (c.bound) {
+            wrong("a copy of a body that is not kept", c);
+        }
         if (c.shots.size() >= settings.limits().mostShots()) {
             wrong("a shot too many", c);
         }
@@ -169,7 +198,9 @@
         s.at = now;
         c.shots.add(s);
         int number = c.shots.size() - 1;
-        at(now + giveUpAfter, () -> end(id, number, Outcome.TIMED_OUT));
+        if (c.until < Long.MAX_VALUE) {
+            at(now + giveUpAfter, () -> end(id, number, Outcome.TIMED_OUT));
+        }
     }
 
     @Override
