--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -442,6 +442,8 @@
         leaving = succeeded;
         if (succeeded) {
             choice.share(tick(), REST);
+            // They have somewhere to go; what they ask here from now on, if it is large, might not be finished.
+            List.copyOf(clients).stream().filter(ClientConnection::served).forEach(c -> owner.execute(c::closeIfIdle));
         }
         lastAnswer = last;
         LOG.log(System.Logger.Level.INFO, "ending; {0} calls held", byClient.size());
@@ -513,6 +515,11 @@
         choice.learnt(tick(), told);
     }
 
+    /** The end has come for all but large answers under way. */
+    public void leaveButAnswers() {
+        List.copyOf(clients).stream().filter(c -> !c.answering()).forEach(ClientConnection::drop);
+    }
+
     private void quiet() {
         if (clients.isEmpty()) {
             Runnable quiet = whenQuiet;
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/src/main/java/gorsestack/serve/Limits.java
@@ -36,6 +36,7 @@
         long acceptAfterTerm,
         long serveAfterTerm,
         long endAfterTerm,
+        long answersAfterTerm,
         long operatorSilence,
         long awayIdle,
         long sweep,
@@ -121,6 +122,8 @@
                 Math.max(600 * MS, (long) ((longest + 650 - slo / 2) * MS)),
                 // SIGKILL comes no sooner than the longest client timeout and 0.7 s more.
                 (long) (longest * MS) + 650 * MS,
+                // 32 MB to a client that takes half a megabyte a second.
+                60_000 * MS,
                 // A call is a line or two; callers that stay in the middle of one are known to do so for 4 s.
                 5_000 * MS,
                 // Sent away, a client has 4 s. Most leave with an answer; closed on while idle, one may be just asking.
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -131,9 +131,13 @@
         owner.at(told + (succeeded ? 0 : limits.acceptAfterTerm()), network::stopAccepting);
         // Behind what was taken in last.
         owner.at(told + limits.acceptAfterTerm(), () -> calls.whenQuiet(ended::countDown));
-        owner.at(told + limits.serveAfterTerm(), calls::leave);
+        owner.at(told + (succeeded ? limits.acceptAfterTerm() : limits.serveAfterTerm()), calls::leave);
         try {
-            ended.await(limits.endAfterTerm(), TimeUnit.NANOSECONDS);
+            if (!ended.await(limits.endAfterTerm(), TimeUnit.NANOSECONDS)) {
+                // Danger: a large answer cut off that its upstream still gives. Whoever cannot wait sends SIGKILL.
+                owner.execute(calls::leaveButAnswers);
+                ended.await(limits.answersAfterTerm(), TimeUnit.NANOSECONDS);
+            }
             Thread.sleep(20); // what was answered last is still on its way out
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/src/main/java/gorsestack/wire/ClientConnection.java
@@ -378,6 +378,16 @@
         intake.closed(this);
     }
 
+    /** Whether it has asked something, so that no first request is on its way. */
+    public boolean served() {
+        return served;
+    }
+
+    /** Whether a large answer is under way. */
+    public boolean answering() {
+        return answering != null;
+    }
+
     /** Closes between calls, unless one has begun. */
     public void closeIfIdle() {
         if (!busy && !parser.begun() && ahead.isEmpty()) {
