--- a/src/main/java/gorsestack/operate/Handover.java
+++ b/src/main/java/gorsestack/operate/Handover.java
@@ -72,6 +72,8 @@
     private boolean another;
     private boolean otherOpen;
     private boolean younger;
+    /** Has not heard yet what the process before it learnt. */
+    private boolean beginning;
     private double[][] learnt = {};
     private FileLock opened;
     private volatile boolean successor;
@@ -95,6 +97,7 @@
             locks = null;
         }
         another = locks != null && place > 0 && held(0, place);
+        otherOpen = another;
         load();
     }
 
@@ -147,6 +150,7 @@
 
     /** Looks after the other process from now on. */
     public void start() {
+        beginning = true;
         thread.scheduleWithFixedDelay(this::look, 0, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -281,8 +285,9 @@
             whole &= line(lines[i].split(" "), rows);
         }
         learnt = rows.toArray(double[][]::new);
-        // Danger: rows of long ago, read at a start without a process that wrote them.
-        if (another && !younger && learnt.length > 0) {
+        // Danger: rows of an earlier upgrade, read before the old process has seen this one; rows read once more later on.
+        if (beginning && another && !younger && learnt.length > 0) {
+            beginning = false;
             owner.execute(() -> listener.learnt(rows.toArray(double[][]::new)));
         }
         if (!whole) {
--- a/src/test/java/gorsestack/serve/ServiceTest.java
+++ b/src/test/java/gorsestack/serve/ServiceTest.java
@@ -74,6 +74,7 @@
             {"\"tier\": 0", "\"reporting\": {\"source\": \"always\"}", "reporting.source"},
             {"\"tier\": 0", "\"reporting\": {\"source\": \"answers\", \"columns\": [1]}", "reporting.columns"},
             {"\"billedValue\": 1.0", "\"lateBilledValue\": 2", "lateBilledValue"},
+            {"\"seed\"", "\"mgmt\": \"here\", \"seed\"", "mgmt must"}, {"\"seed\"", "\"mgmt\": {}, \"seed\"", "mgmt must"},
             {"\"seed\"", "\"peers\": [\"127.0.0.1:18900\"], \"seed\"", "peers must"}};
         for (String[] row : rows) {
             String said = assertThrows(IOException.class, () -> read(row[0], row[1]), row[1]).getMessage();
