Read once more: one way to close idle clients, one to share, one bound on an upstream's silence

No behaviour changes. closeIdle stood three times; what a process does beside another stood twice in Service; the bound on silence twice in UpstreamConnection, where when a large answer begins to go on also asked what large() had said.

--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/src/main/java/gorsestack/memory/Calls.java
@@ -28,6 +28,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** The calls and shots that are out. Drives the module, and does what it says; decides nothing. */
 public final class Calls implements Outgoing, ClientConnection.Intake, Discovery.Listener, Management.Balancer {
@@ -443,7 +444,7 @@
         if (succeeded) {
             choice.share(tick(), REST);
             // They have somewhere to go; what they ask here from now on, if it is large, might not be finished.
-            List.copyOf(clients).stream().filter(ClientConnection::served).forEach(c -> owner.execute(c::closeIfIdle));
+            closeIdle(ClientConnection::served);
         }
         lastAnswer = last;
         LOG.log(System.Logger.Level.INFO, "ending; {0} calls held", byClient.size());
@@ -458,8 +459,12 @@
     /** Closes the connections between calls, the others with their answer. */
     public void leave() {
         leaving = true;
-        // One task each, behind what has been read by then: a call that waits its turn is not closed on.
-        List.copyOf(clients).forEach(c -> owner.execute(c::closeIfIdle));
+        closeIdle(c -> true);
+    }
+
+    /** One task each, behind what has been read by then: a call that waits its turn is not closed on. */
+    private void closeIdle(Predicate<ClientConnection> of) {
+        List.copyOf(clients).stream().filter(of).forEach(c -> owner.execute(c::closeIfIdle));
     }
 
     // What operators say.
@@ -488,7 +493,7 @@
     /** Danger: a client that asks nothing more would never learn that it is sent away. */
     private void emptyWhileAway() {
         if (away) {
-            List.copyOf(clients).forEach(c -> owner.execute(c::closeIfIdle));
+            closeIdle(c -> true);
             owner.at(owner.now() + limits.sweep(), this::emptyWhileAway);
         }
     }
--- a/src/main/java/gorsestack/operate/Handover.java
+++ b/src/main/java/gorsestack/operate/Handover.java
@@ -131,21 +131,19 @@
         return another;
     }
 
-    /** Whether a later process of this balancer has opened its listener, by now. */
+    /**
+     * Whether a later process of this balancer has opened its listener, by now. Danger: asked to end a moment after the
+     * other process opened; what was seen last is not enough.
+     */
     public boolean successor() {
-        wait(this::look);
-        return successor;
-    }
-
-    /** Danger: asked to end a moment after the other process opened; what was seen last is not enough. */
-    private void wait(Runnable task) {
         try {
-            thread.submit(task).get(LOOK_MS, TimeUnit.MILLISECONDS);
+            thread.submit(this::look).get(LOOK_MS, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
             LOG.log(System.Logger.Level.WARNING, "the other process was not seen in time: {0}", e.toString());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        return successor;
     }
 
     /** Looks after the other process from now on. */
@@ -183,7 +181,6 @@
         boolean before = another;
         boolean later = held(place + 2, END);
         boolean openBefore = otherOpen;
-        // Danger: a successor that is not open yet must not be left alone with the clients.
         if (later && !younger) {
             owner.execute(() -> {
                 double[][] rows = listener.learnt();
@@ -191,6 +188,7 @@
             });
         }
         younger = later;
+        // Danger: a successor that is not open yet must not be left alone with the clients.
         successor = later && anyOpen(place + 2, place + 16);
         otherOpen = successor || anyOpen(Math.max(0, place - 16), place);
         another = later || place > 0 && held(0, place);
@@ -288,7 +286,8 @@
         // Danger: rows of an earlier upgrade, read before the old process has seen this one; rows read once more later on.
         if (beginning && another && !younger && learnt.length > 0) {
             beginning = false;
-            owner.execute(() -> listener.learnt(rows.toArray(double[][]::new)));
+            double[][] told = learnt;
+            owner.execute(() -> listener.learnt(told));
         }
         if (!whole) {
             LOG.log(System.Logger.Level.WARNING, "{0} is damaged or of another version; taken is what can be read", state);
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/src/main/java/gorsestack/serve/Service.java
@@ -55,8 +55,7 @@
 
                         @Override
                         public void beside(boolean another, boolean open) {
-                            calls.beside(another, open);
-                            network.bound(limits.mostAccepted() / (another ? 2 : 1));
+                            share(another, open);
                         }
 
                         @Override
@@ -71,8 +70,7 @@
                     });
             besideAnother = handover.predecessor();
             if (besideAnother) {
-                owner.execute(() -> calls.beside(true, true));
-                network.bound(limits.mostAccepted() / 2);
+                owner.execute(() -> share(true, true));
             }
             management.keep(handover);
             network.listenApart(configuration.mgmt(), limits.operators() + 4, management::caller);
@@ -102,6 +100,12 @@
         LOG.log(System.Logger.Level.INFO, "{0} is ready on {1}", configuration.name(), configuration.listen());
     }
 
+    /** Another process of this balancer runs beside this one, or no longer, and takes in clients too. */
+    private void share(boolean another, boolean open) {
+        calls.beside(another, open);
+        network.bound(configuration.limits().mostAccepted() / (another ? 2 : 1));
+    }
+
     /** SIGHUP: follows the discovery that the file names by now; of a file that makes no sense nothing is taken. */
     private void reload() {
         try {
--- a/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -169,8 +169,7 @@
             int used = parser.feed(bytes, 0, bytes.length);
             if (parser.done()) {
                 done(used < bytes.length);
-            } else if (waiting != null && parser.large() && parser.came() >= Math.min(SOME, parser.length())
-                    && (parser.length() >= 0 || parser.came() > limits.bodyBytes())) {
+            } else if (waiting != null && parser.large() && parser.came() >= SOME) {
                 goOn();
             }
             if (!closed && (waiting != null || rest != null) && parser.begun() && !checked) {
@@ -241,10 +240,10 @@
 
     /** Danger: an answer with a length that does not fit never ends, and holds its call until its time is up. */
     private void restOfAnswer() {
-        owner.at(lastByteAt + (rest == null ? limits.restOfAnswer() : limits.restOfStream()), () -> {
+        owner.at(lastByteAt + mostSilence(), () -> {
             if (closed || waiting == null && rest == null || !parser.begun()) {
                 checked = false;
-            } else if (!held && owner.now() >= lastByteAt + (rest == null ? limits.restOfAnswer() : limits.restOfStream())) {
+            } else if (!held && owner.now() >= lastByteAt + mostSilence()) {
                 end(Outcome.SPOILT);
             } else {
                 lastByteAt = held ? owner.now() : lastByteAt;
@@ -253,6 +252,10 @@
         });
     }
 
+    private long mostSilence() {
+        return rest == null ? limits.restOfAnswer() : limits.restOfStream();
+    }
+
     /** Rule 2: only what says that it was not processed has never run. */
     private static Outcome outcome(Head head) {
         return switch (head.start[1]) {
