--- a/src/main/java/gorsestack/memory/Pool.java
+++ b/src/main/java/gorsestack/memory/Pool.java
@@ -89,26 +89,11 @@
         UpstreamConnection opened = new UpstreamConnection(limits, owner, this, upstream, address);
         opened.connect(network);
         all.add(opened);
-        boundConnecting(opened, now + limits.connectTimeout());
+        // Danger: a machine that is gone answers no connect; the shot on it has to end, as one that never ran.
+        owner.at(now + limits.connectTimeout(), opened::tooSlow);
         return opened;
     }
 
-    /**
-     * Danger: a machine that is gone answers no connect; the shot on it has to end, as one that never ran. Danger: at a
-     * start with hundreds of calls waiting this process is late itself, and connections that are up wait to be seen; all
-     * upstreams looked gone. What it is late by is not theirs.
-     */
-    private void boundConnecting(UpstreamConnection opened, long due) {
-        owner.at(due, () -> {
-            long now = owner.now();
-            if (opened.connecting() && now - due > limits.connectTimeout() / 8) {
-                boundConnecting(opened, 2 * now - due);
-            } else {
-                opened.tooSlow();
-            }
-        });
-    }
-
     @Override
     public void free(UpstreamConnection connection) {
         if (!connection.address.equals(addresses.get(connection.upstream))) {
--- a/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -130,7 +130,7 @@
     public void passedOn() { }
 
     private boolean written() {
-        return requestWhole && unsent == null && writing == 0;
+        return requestWhole && writing == 0;
     }
 
     @Override
@@ -298,13 +298,9 @@
         }
     }
 
-    public boolean connecting() {
-        return channel == null && !closed;
-    }
-
     /** Did not come up in time. */
     public void tooSlow() {
-        if (connecting()) {
+        if (channel == null) {
             end(Outcome.UNREACHABLE);
         }
     }
