A refused connect never ran; one source of truth for the version

Cause: UpstreamConnection.written() held for a request that still waited for its connection (unsent), so closed() told a refused connect as BROKEN, which may have run, and a call that may not be repeated was errored. The protocol has it as could not connect. CallsTest.triesElsewhereWhereAConnectionIsRefused fails without it.

--- a/src/main/java/gorsestack/Main.java
+++ b/src/main/java/gorsestack/Main.java
@@ -3,15 +3,18 @@
 import gorsestack.serve.Service;
 import gorsestack.simhost.SimHost;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.file.Path;
+import java.util.Properties;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /** The command line. */
-@Command(name = "gorsestack", mixinStandardHelpOptions = true, version = "gorsestack 0.5.0",
-        description = "A load balancer for services that call services.", subcommands = {Main.Serve.class, Main.Simhost.class})
+@Command(name = "gorsestack", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+        description = "A load balancer for services that call services.",
+        subcommands = {Main.Serve.class, Main.Simhost.class})
 public final class Main implements Callable<Integer> {
 
     public static void main(String[] args) throws InterruptedException {
@@ -29,6 +32,18 @@
         return CommandLine.ExitCode.USAGE;
     }
 
+    /** The pom says it; read only where it is asked for. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() throws IOException {
+            Properties told = new Properties();
+            try (InputStream in = Main.class.getResourceAsStream("version.properties")) {
+                told.load(in);
+            }
+            return new String[] {"gorsestack " + told.getProperty("version")};
+        }
+    }
+
     @Command(name = "simhost", mixinStandardHelpOptions = true,
             description = "Hosts balancers on the simulator's wire: standard input in, standard output out.")
     static final class Simhost implements Callable<Integer> {
--- a/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -130,7 +130,8 @@
     public void passedOn() { }
 
     private boolean written() {
-        return requestWhole && writing == 0;
+        // Danger: a request that waits for its connection has not left; a refused connect proves that nothing ran.
+        return requestWhole && unsent == null && writing == 0;
     }
 
     @Override
--- a/src/test/java/gorsestack/memory/CallsTest.java
+++ b/src/test/java/gorsestack/memory/CallsTest.java
@@ -393,6 +393,21 @@
         assertTrue(!rig.shots().get(0).to.equals(rig.last().to));
     }
 
+    /** Rule 2 the other way: a refused connection proves that nothing ran, so even this call goes elsewhere. */
+    @Test
+    void triesElsewhereWhereAConnectionIsRefused() throws IOException {
+        Rig rig = rig(2);
+        rig.answersDials = false;
+        Socket client = rig.client();
+        client.say(call("once", "c"));
+        rig.last().end();
+        rig.drain();
+        assertEquals(2, rig.shots().size());
+        rig.last().up();
+        rig.last().ok("c");
+        answered(200, client);
+    }
+
     /** Danger: seen with 256 descriptors; clients that ask once and stay, or say nothing, kept the others out. */
     @Test
     void makesRoomForThoseThatAsk() throws IOException {
