--- a/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -7,7 +7,7 @@
 import gorsestack.decision.Upstreams;
 import gorsestack.operate.Handover;
 import gorsestack.operate.Management;
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 import gorsestack.wire.Answer;
 import gorsestack.wire.BadMessage;
 import gorsestack.wire.Catalog;
--- a/src/main/java/gorsestack/memory/Pool.java
+++ b/balancer/src/main/java/gorsestack/memory/Pool.java
@@ -1,6 +1,6 @@
 package gorsestack.memory;
 
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 import gorsestack.wire.Flow;
 import gorsestack.wire.Network;
 import gorsestack.wire.Owner;
--- a/src/main/java/gorsestack/operate/Management.java
+++ b/balancer/src/main/java/gorsestack/operate/Management.java
@@ -1,6 +1,6 @@
 package gorsestack.operate;
 
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 import gorsestack.wire.Answer;
 import gorsestack.wire.BadMessage;
 import gorsestack.wire.Channel;
--- a/src/main/java/gorsestack/serve/Service.java
+++ b/balancer/src/main/java/gorsestack/serve/Service.java
@@ -4,6 +4,7 @@
 import gorsestack.memory.OwnerThread;
 import gorsestack.operate.Handover;
 import gorsestack.operate.Management;
+import gorsestack.settings.Limits;
 import gorsestack.wire.ClientConnection;
 import gorsestack.wire.MinaNetwork;
 import gorsestack.wire.Network;
--- a/src/main/java/gorsestack/serve/WarmUp.java
+++ b/balancer/src/main/java/gorsestack/serve/WarmUp.java
@@ -3,6 +3,7 @@
 import gorsestack.decision.Settings;
 import gorsestack.decision.Upstreams;
 import gorsestack.memory.Calls;
+import gorsestack.settings.Limits;
 import gorsestack.wire.Catalog;
 import gorsestack.wire.Channel;
 import gorsestack.wire.ClientConnection;
--- a/src/main/java/gorsestack/serve/Limits.java
+++ b/balancer/src/main/java/gorsestack/settings/Limits.java
@@ -1,4 +1,4 @@
-package gorsestack.serve;
+package gorsestack.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
--- a/src/main/java/gorsestack/simhost/SettingsReader.java
+++ b/balancer/src/main/java/gorsestack/settings/SettingsReader.java
@@ -1,26 +1,27 @@
-package gorsestack.simhost;
+package gorsestack.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import gorsestack.decision.Settings;
 import gorsestack.decision.Settings.Limits;
 import gorsestack.decision.Settings.Product;
 import gorsestack.decision.Settings.Repeat;
 import gorsestack.decision.Settings.Reports;
 import gorsestack.decision.Settings.Rules;
 import gorsestack.decision.Settings.Scope;
+import gorsestack.decision.Settings;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
 /** Turns the settings that a balancer is told, here as on sockets, into the module's. Keys that it does not know are skipped. */
 public final class SettingsReader {
+    private static final double MS = 1e6;
     private static final int ENDLESS = Integer.MAX_VALUE;
 
     private SettingsReader() { }
 
     public static Settings read(JsonNode info) throws IOException {
         if (info == null || !info.isObject()) {
-            throw new WireException("settings: must be an object");
+            throw new BadSettings("settings: must be an object");
         }
         List<Product> products = new ArrayList<>();
         for (JsonNode product : info.path("products")) {
@@ -62,14 +63,14 @@
         return most > 0 ? most : ENDLESS;
     }
 
-    private static Product product(JsonNode node) throws WireException {
+    private static Product product(JsonNode node) throws BadSettings {
         String name = node.path("name").asText("");
         if (name.isEmpty()) {
-            throw new WireException("settings: a product has no name");
+            throw new BadSettings("settings: a product has no name");
         }
         long timeout = nanos(node, "clientTimeout", 0);
         if (timeout <= 0) {
-            throw new WireException("settings: product " + name + " lacks clientTimeout");
+            throw new BadSettings("settings: product " + name + " lacks clientTimeout");
         }
         // A word not known here is taken as the strictest one.
         Repeat repeat = switch (node.path("semantics").asText("")) {
@@ -83,11 +84,11 @@
             default -> Scope.CELL;
         };
         return new Product(name, repeat, scope, nanos(node, "repeatWindow", 0),
-                Math.min(timeout, nanos(node, "latencySlo", SimHost.millis(timeout))), timeout,
+                Math.min(timeout, nanos(node, "latencySlo", timeout / MS)), timeout,
                 node.path("billedValue").asDouble(1), node.path("lateBilledValue").asDouble(1));
     }
 
     private static long nanos(JsonNode node, String key, double absentMs) {
-        return SimHost.nanos(node.path(key).asDouble(absentMs));
+        return Math.round(node.path(key).asDouble(absentMs) * MS);
     }
 }
--- a/src/main/java/gorsestack/simhost/SimHost.java
+++ b/balancer/src/main/java/gorsestack/simhost/SimHost.java
@@ -10,6 +10,8 @@
 import gorsestack.decision.Choice;
 import gorsestack.decision.Outcome;
 import gorsestack.decision.Upstreams;
+import gorsestack.settings.BadSettings;
+import gorsestack.settings.SettingsReader;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -62,7 +64,7 @@
             reply.reset();
             try {
                 batch(line, reply);
-            } catch (WireException e) {
+            } catch (WireException | BadSettings e) {
                 return complain(e.getMessage());
             } catch (JsonProcessingException e) {
                 return complain("not JSON: " + e.getOriginalMessage().replaceAll(" \\(start marker at .*", ""));
--- a/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -1,7 +1,7 @@
 package gorsestack.wire;
 
 import gorsestack.decision.Settings;
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Arrays;
--- a/src/main/java/gorsestack/wire/Discovery.java
+++ b/balancer/src/main/java/gorsestack/wire/Discovery.java
@@ -1,6 +1,6 @@
 package gorsestack.wire;
 
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/gorsestack/wire/Flow.java
+++ b/balancer/src/main/java/gorsestack/wire/Flow.java
@@ -1,6 +1,6 @@
 package gorsestack.wire;
 
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 
 /** Bodies under way that are too large to be kept: how much of each may wait to go out. */
 public final class Flow {
--- a/src/main/java/gorsestack/wire/HttpParser.java
+++ b/balancer/src/main/java/gorsestack/wire/HttpParser.java
@@ -1,6 +1,6 @@
 package gorsestack.wire;
 
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
--- a/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -1,6 +1,6 @@
 package gorsestack.wire;
 
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
--- a/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -1,7 +1,7 @@
 package gorsestack.wire;
 
 import gorsestack.decision.Outcome;
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 import java.net.InetSocketAddress;
 
 /** A connection to an upstream: one shot at a time, kept between shots. */
--- /dev/null
+++ b/balancer/src/test/java/gorsestack/LayersTest.java
@@ -0,0 +1,47 @@
+package gorsestack;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import org.junit.jupiter.api.Test;
+
+/** Imports run one way: from what starts the program down to the decisions, which know nothing else. */
+class LayersTest {
+    private static final JavaClasses CLASSES = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("gorsestack");
+
+    @Test
+    void importsRunOneWay() {
+        slices().matching("gorsestack.(*)..").should().beFreeOfCycles().check(CLASSES);
+        layeredArchitecture().consideringOnlyDependenciesInAnyPackage("gorsestack..")
+                .layer("main").definedBy("gorsestack")
+                .layer("serve").definedBy("gorsestack.serve")
+                .layer("simhost").definedBy("gorsestack.simhost")
+                .layer("memory").definedBy("gorsestack.memory")
+                .layer("operate").definedBy("gorsestack.operate")
+                .layer("wire").definedBy("gorsestack.wire")
+                .layer("settings").definedBy("gorsestack.settings")
+                .whereLayer("main").mayNotBeAccessedByAnyLayer()
+                .whereLayer("serve").mayOnlyBeAccessedByLayers("main")
+                .whereLayer("simhost").mayOnlyBeAccessedByLayers("main")
+                .whereLayer("memory").mayOnlyBeAccessedByLayers("serve")
+                .whereLayer("operate").mayOnlyBeAccessedByLayers("memory", "serve")
+                .whereLayer("wire").mayOnlyBeAccessedByLayers("operate", "memory", "serve")
+                .whereLayer("settings").mayOnlyBeAccessedByLayers("wire", "operate", "memory", "serve", "simhost")
+                .check(CLASSES);
+    }
+
+    /** Decisions have no I/O, no clock of their own and no threads. */
+    @Test
+    void decisionsTouchNothing() {
+        ArchRuleDefinition.noClasses().that().resideInAPackage("gorsestack.decision").should().dependOnClassesThat()
+                .resideInAnyPackage("java.io..", "java.net..", "java.nio.channels..", "java.nio.file..", "java.time..", "java.util.concurrent..", "gorsestack.wire..",
+                        "gorsestack.settings..").check(CLASSES);
+        ArchRuleDefinition.noClasses().that().resideInAPackage("gorsestack.decision").should()
+                .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis").check(CLASSES);
+    }
+}
--- a/src/test/java/gorsestack/operate/ManagementTest.java
+++ b/balancer/src/test/java/gorsestack/operate/ManagementTest.java
@@ -5,7 +5,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import gorsestack.memory.OwnerThread;
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 import gorsestack.wire.MinaNetwork;
 import java.io.IOException;
 import java.net.InetAddress;
--- a/src/test/java/gorsestack/serve/MixedShapesTest.java
+++ b/balancer/src/test/java/gorsestack/serve/MixedShapesTest.java
@@ -1,5 +1,6 @@
 package gorsestack.serve;
 
+import gorsestack.settings.Limits;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,7 +9,7 @@
 import gorsestack.decision.Upstreams;
 import gorsestack.memory.Calls;
 import gorsestack.memory.OwnerThread;
-import gorsestack.simhost.SettingsReader;
+import gorsestack.settings.SettingsReader;
 import gorsestack.wire.Catalog;
 import gorsestack.wire.ClientConnection;
 import gorsestack.wire.MinaNetwork;
--- a/src/test/java/gorsestack/serve/ServiceTest.java
+++ b/balancer/src/test/java/gorsestack/serve/ServiceTest.java
@@ -1,5 +1,6 @@
 package gorsestack.serve;
 
+import gorsestack.settings.Limits;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/gorsestack/wire/HttpParserTest.java
+++ b/balancer/src/test/java/gorsestack/wire/HttpParserTest.java
@@ -10,7 +10,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import gorsestack.decision.Settings;
-import gorsestack.serve.Limits;
+import gorsestack.settings.Limits;
 import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
