--- a/lab/src/main/java/gorsestack/lab/standin/Problem.java
+++ b/lab/src/main/java/gorsestack/lab/Problem.java
@@ -1,4 +1,4 @@
-package gorsestack.lab.standin;
+package gorsestack.lab;
 
 import java.util.concurrent.atomic.AtomicReference;
 
--- a/lab/src/main/java/gorsestack/lab/net/Door.java
+++ b/lab/src/main/java/gorsestack/lab/net/Door.java
@@ -1,5 +1,6 @@
 package gorsestack.lab.net;
 
+import gorsestack.lab.Problem;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -15,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -24,6 +26,8 @@
 public final class Door {
     /** A queue of one holds two; a third connection of our own finds out whether it is full. */
     private static final int FILL = 3;
+    /** Milliseconds that an address is waited for. */
+    private static final int TRIES = 500;
 
     private final EventLoop loop;
     private final InetSocketAddress address;
@@ -35,6 +39,7 @@
     private ServerSocketChannel hole;
     private final List<java.nio.channels.SocketChannel> fill = new ArrayList<>();
     private boolean open;
+    private int failures;
 
     /** What accepted adds to the pipeline comes behind the link. */
     public Door(EventLoop loop, InetSocketAddress address, Link link, SplittableRandom random, Consumer<SocketChannel> accepted) {
@@ -76,13 +81,33 @@
             closeHole();
         }
         if (silent && hole == null) {
-            openHole();
+            again(this::openHole, silent, TRIES);
         }
         if (listen && listener == null) {
             bind();
         }
     }
 
+    /** Danger: a listener that was closed a moment ago still holds its address until its selector has turned. */
+    private void again(ThrowingTask task, boolean forSilence, int left) {
+        if (forSilence == link.comesUp() || hole != null) {
+            return; // changed meanwhile
+        }
+        try {
+            task.run();
+        } catch (IOException e) {
+            if (left == 0) {
+                Problem.report(new IOException("cannot drop at " + address + ": " + e.getMessage(), e));
+            } else {
+                loop.schedule(() -> again(task, forSilence, left - 1), 1, TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    private interface ThrowingTask {
+        void run() throws IOException;
+    }
+
     private void bind() {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
@@ -95,27 +120,37 @@
                         accepted.accept(channel);
                     }
                 }).bind(address);
-        listener = bound.channel();
+        Channel made = bound.channel();
+        listener = made;
         bound.addListener(f -> {
-            if (!f.isSuccess()) {
-                throw new IllegalStateException("cannot listen at " + address + ": " + f.cause());
+            if (!f.isSuccess() && listener == made) {
+                listener = null;
+                if (++failures > TRIES) {
+                    Problem.report(new IOException("cannot listen at " + address + ": " + f.cause().getMessage()));
+                } else {
+                    loop.schedule(this::update, 1, TimeUnit.MILLISECONDS);
+                }
+            } else {
+                failures = 0;
             }
         });
     }
 
-    private void openHole() {
+    private void openHole() throws IOException {
+        ServerSocketChannel made = ServerSocketChannel.open();
         try {
-            hole = ServerSocketChannel.open();
-            hole.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            hole.bind(address, 1);
-            for (int i = 0; i < FILL; i++) {
-                java.nio.channels.SocketChannel one = java.nio.channels.SocketChannel.open();
-                fill.add(one);
-                one.configureBlocking(false);
-                one.connect(address);
-            }
+            made.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            made.bind(address, 1);
         } catch (IOException e) {
-            throw new IllegalStateException("cannot drop at " + address + ": " + e, e);
+            made.close();
+            throw e;
+        }
+        hole = made;
+        for (int i = 0; i < FILL; i++) {
+            java.nio.channels.SocketChannel one = java.nio.channels.SocketChannel.open();
+            fill.add(one);
+            one.configureBlocking(false);
+            one.connect(address);
         }
     }
 
--- a/lab/src/main/java/gorsestack/lab/net/LinkHandler.java
+++ b/lab/src/main/java/gorsestack/lab/net/LinkHandler.java
@@ -148,6 +148,9 @@
 
     @Override
     public void reset() {
+        if (!context.channel().isOpen()) {
+            return;
+        }
         context.channel().config().setOption(io.netty.channel.ChannelOption.SO_LINGER, 0);
         context.channel().unsafe().close(context.channel().voidPromise());
     }
--- a/lab/src/main/java/gorsestack/lab/run/Run.java
+++ b/lab/src/main/java/gorsestack/lab/run/Run.java
@@ -1,6 +1,7 @@
 package gorsestack.lab.run;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import gorsestack.lab.Problem;
 import gorsestack.lab.judge.Records;
 import gorsestack.lab.net.Addresses;
 import gorsestack.lab.net.Relay;
@@ -10,7 +11,6 @@
 import gorsestack.lab.scenario.Scenario;
 import gorsestack.lab.standin.Clients;
 import gorsestack.lab.standin.Discovery;
-import gorsestack.lab.standin.Problem;
 import gorsestack.lab.standin.Upstream;
 import gorsestack.lab.standin.World;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -34,8 +34,6 @@
     /** What is run, where, and who hears of it. */
     public record Plan(Scenario scenario, String text, long seed, Path root, String run, String version, Path out, PrintStream progress) { }
 
-    /** The lab's own code is compiled meanwhile; the program's too, as it would be by then. */
-    private static final long LEAD = 3_000_000_000L;
     private static final long TICK = 10_000_000L;
 
     private final Plan plan;
@@ -86,6 +84,9 @@
             try {
                 failed = play(addresses);
             } finally {
+                if (clients != null) {
+                    on(() -> clients.end());
+                }
                 if (fleet != null) {
                     fleet.end();
                 }
@@ -182,7 +183,8 @@
 
     private void begin() {
         world.records.listCalls.clear();
-        world.begin(LEAD);
+        // Calls come before that, as the lab's own code and the program's is compiled meanwhile, as it would be by then.
+        world.begin((long) (plan.scenario.lead() * 1e9));
         measuring = true;
         tick(TICK);
         world.at(0, () -> world.opened = 0);
--- a/lab/src/main/java/gorsestack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/gorsestack/lab/scenario/Scenario.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /** What a run is: the fleet, what stands round it, what goes wrong, and what has to hold. Times in seconds unless named. */
-public record Scenario(String name, String about, double seconds, double settle, List<String> zones, Fleet fleet, List<Tier> tiers,
+public record Scenario(String name, String about, double seconds, double lead, double settle, List<String> zones, Fleet fleet, List<Tier> tiers,
         Discovery discovery, Rules rules, List<Product> products, Load load, List<Fault> faults, List<Invariant> invariants) {
 
     /** The balancers of the first tier; each upstream of a tier that calls the next has one more beside it. */
--- a/lab/src/main/java/gorsestack/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/gorsestack/lab/scenario/ScenarioReader.java
@@ -71,7 +71,7 @@
         for (Section s : all.sections("invariants")) {
             invariants.add(invariant(s, faults));
         }
-        Scenario scenario = new Scenario(all.text("name", null), all.text("about", null), seconds, all.number("settle", 5, 0, 600),
+        Scenario scenario = new Scenario(all.text("name", null), all.text("about", null), seconds, all.number("lead", 3, 0, 60), all.number("settle", 5, 0, 600),
                 zones, fleet(all.section("fleet")), tiers, discovery(all.section("discovery")), rules(all.section("rules")), products,
                 load(all.section("load")), faults, invariants);
         all.nothingElse();
--- a/lab/src/main/java/gorsestack/lab/standin/Caller.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Caller.java
@@ -178,8 +178,10 @@
         });
     }
 
-    /** Whether a kept connection is there. */
-    public boolean idle() {
-        return !idle.isEmpty();
+    /** Closes what is kept. */
+    public void end() {
+        while (!idle.isEmpty()) {
+            idle.pollFirst().channel.close();
+        }
     }
 }
--- a/lab/src/main/java/gorsestack/lab/standin/Clients.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Clients.java
@@ -35,6 +35,11 @@
             health = new Caller(world, "front", balancer);
             calls = new Caller(world, "clients-" + zone, balancer);
         }
+
+        void end() {
+            health.end();
+            calls.end();
+        }
     }
 
     private final World world;
@@ -48,6 +53,7 @@
     private final double[] zoneShare;
     private double burst = 1;
     private boolean stopped;
+    private boolean ended;
     private int calls;
     private int open;
 
@@ -76,6 +82,9 @@
     }
 
     private void poll(Seen seen) {
+        if (ended) {
+            return;
+        }
         long every = (long) (world.scenario.fleet().healthEvery() * 1e9);
         long asked = world.now();
         seen.health.call(Caller.request("GET", HEALTH, Map.of(), ""), "health", asked + 1_000_000_000L, false, answer -> {
@@ -113,6 +122,14 @@
         stopped = true;
     }
 
+    /** Closes what is idle, and asks for health no more; whoever ends need not wait for clients. */
+    public void end() {
+        stopped = true;
+        ended = true;
+        fleet.forEach(Seen::end);
+        later.forEach(Seen::end);
+    }
+
     public int open() {
         return open;
     }
--- a/lab/src/main/java/gorsestack/lab/standin/World.java
+++ b/lab/src/main/java/gorsestack/lab/standin/World.java
@@ -1,5 +1,6 @@
 package gorsestack.lab.standin;
 
+import gorsestack.lab.Problem;
 import gorsestack.lab.judge.Records;
 import gorsestack.lab.net.Addresses;
 import gorsestack.lab.net.Links;
