--- a/lab/src/main/java/gorsestack/lab/judge/Figures.java
+++ b/lab/src/main/java/gorsestack/lab/judge/Figures.java
@@ -73,8 +73,11 @@
     }
 
     private List<Call> over(String over) {
+        if (over.equals("before")) {
+            // What was open when it happened belongs to what came of it.
+            return calls.stream().filter(c -> c.ended < faultAt).toList();
+        }
         LongPredicate in = switch (over) {
-            case "before" -> t -> t < faultAt;
             case "after" -> t -> t >= faultAt && t < faultAt + AFTER;
             case "end" -> t -> t >= end - 10 * SECOND;
             default -> t -> true;
@@ -195,7 +198,7 @@
             served[i + 1] = served[i] + (calls.get(i).served() ? 1 : 0);
             asked[i + 1] = asked[i] + (calls.get(i).end.equals("left") ? 0 : 1);
         }
-        double wanted = 0.99 * window(times, served, asked, faultAt - 10 * SECOND, faultAt);
+        double wanted = 0.99 * share(over("before").stream().filter(c -> c.intended >= faultAt - 10 * SECOND).toList());
         for (long at = faultAt; at + 5 * SECOND <= end; at += STEP) {
             boolean full = true;
             for (int w = 0; w < 5 && full; w++) {
--- a/lab/src/main/java/gorsestack/lab/report/Result.java
+++ b/lab/src/main/java/gorsestack/lab/report/Result.java
@@ -96,7 +96,8 @@
         double got = 0;
         double asked = 0;
         for (Figures.Call c : figures.calls) {
-            if (c.intended() >= from && c.intended() < until && !c.end().equals("left")) {
+            boolean in = over.equals("before") ? c.ended() < until : c.intended() >= from && c.intended() < until;
+            if (in && !c.end().equals("left")) {
                 got += c.worth();
                 asked += worths.get(c.product());
             }
