--- a/lab/src/main/java/gorsestack/lab/standin/Clients.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Clients.java
@@ -12,8 +12,8 @@
 import java.util.function.IntConsumer;
 
 /**
- * The front, which deals out connections among the balancers of a zone by their health, and the clients of each zone, who ask when they
- * have something to ask, whatever became of what they asked before.
+ * The front of each zone, which deals out connections among the balancers of that zone by their health, and the clients of the zone, who
+ * ask when they have something to ask, whatever became of what they asked before.
  */
 public final class Clients {
     private static final String HEALTH = "/_health";
@@ -32,7 +32,7 @@
         Seen(int balancer) {
             this.balancer = balancer;
             zone = world.zone(balancer);
-            health = new Caller(world, "front", balancer);
+            health = new Caller(world, "front-" + zone, balancer);
             calls = new Caller(world, "clients-" + zone, balancer);
         }
 
@@ -173,9 +173,6 @@
 
     private Seen deal(String zone) {
         List<Seen> here = fleet.stream().filter(s -> s.in && s.zone.equals(zone)).toList();
-        if (here.isEmpty()) {
-            here = fleet.stream().filter(s -> s.in).toList();
-        }
         return here.isEmpty() ? null : here.get(turn.merge(zone, 1, Integer::sum) % here.size());
     }
 
