--- a/lab/src/main/java/gorsestack/lab/run/Parties.java
+++ b/lab/src/main/java/gorsestack/lab/run/Parties.java
@@ -9,7 +9,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
-/** Who a scenario's words name: n3, u12, discovery, clients-a. */
+/** Who a scenario's words name: n3, u12, discovery, clients-a, front-a. */
 final class Parties {
     private final World world;
     private final Upstream.Fleet upstreams;
@@ -39,7 +39,7 @@
         if (party.startsWith("n")) {
             return number < front ? world.zone(number) : upstreams.all.get(number - front).zone;
         }
-        return party.startsWith("clients-") ? party.substring(8) : "";
+        return party.startsWith("clients-") ? party.substring(8) : party.startsWith("front-") ? party.substring(6) : "";
     }
 
     /** Whether a party is meant, leaving shares aside. */
