How far a balancer has come back: steps with bounds, in the log, at /_health and by gorsestack status

Need (issue Coming back): cold, listed, warming, full, each with a condition and a time past which it goes on without, so that nothing waits for ever on discovery or on calls. Returning decides without I/O or clock and holds nobody up; on only where state is configured. GET /status at the operators' listener and gorsestack status show it.

--- a/balancer/src/main/java/gorsestack/Main.java
+++ b/balancer/src/main/java/gorsestack/Main.java
@@ -15,7 +15,7 @@
 /** The command line. */
 @Command(name = "gorsestack", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
         description = "A load balancer for services that call services.",
-        subcommands = {Main.Serve.class, Main.Simhost.class, Main.StateFile.class})
+        subcommands = {Main.Serve.class, Main.Simhost.class, Main.StateFile.class, Main.Status.class})
 public final class Main implements Callable<Integer> {
 
     public static void main(String[] args) throws InterruptedException {
@@ -54,6 +54,21 @@
         }
     }
 
+    @Command(name = "status", mixinStandardHelpOptions = true, description = "Asks a running balancer's operators' listener how it is."
+            + " Exit code 0 where it is ready, 1 where it is not, 2 where it cannot be asked.")
+    static final class Status implements Callable<Integer> {
+        @Parameters(paramLabel = "ADDRESS:PORT", description = "its mgmt address")
+        private String address;
+
+        @Option(names = "--json", description = "as the balancer says it")
+        private boolean json;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            return StatusReport.show(address, json, System.out, System.err);
+        }
+    }
+
     @Command(name = "state", mixinStandardHelpOptions = true, description = "Looks at what a balancer has kept.",
             subcommands = StateFile.Show.class)
     static final class StateFile implements Callable<Integer> {
--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -1,5 +1,7 @@
 package gorsestack.memory;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import gorsestack.decision.Choice;
 import gorsestack.decision.Outcome;
 import gorsestack.decision.Outgoing;
@@ -7,6 +9,7 @@
 import gorsestack.decision.Upstreams;
 import gorsestack.operate.Handover;
 import gorsestack.operate.Management;
+import gorsestack.recovery.Returning;
 import gorsestack.recovery.State;
 import gorsestack.settings.Limits;
 import gorsestack.wire.Answer;
@@ -107,6 +110,7 @@
     private final LoadReport reports;
     private Peers peers;
     private Listing listing;
+    private Returning returning;
     private final Map<String, Settings.Product> products = new HashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<ClientConnection, Call> byClient = new HashMap<>();
@@ -250,6 +254,9 @@
         if (listing != null) {
             listing.news(catalog);
         }
+        if (returning != null && catalog.news().form() != Upstreams.Form.CACHED) {
+            returning.listed(owner.now());
+        }
         if (catalog.news().form() != Upstreams.Form.CHANGES) {
             pool.keepOnly(catalog.addresses().keySet());
         }
@@ -333,6 +340,9 @@
         Call c = calls.get(apiCall);
         if (!c.ended) {
             c.end();
+            if (returning != null) {
+                returning.answered(owner.now(), answer.status() == 200);
+            }
             trace("{0} answered {1}", c.id, answer.status());
             byClient.remove(c.client);
             c.client.answer(answer);
@@ -457,6 +467,9 @@
     /** From now on /_health says that calls may come. */
     public void open() {
         ready = true;
+        if (returning != null) {
+            returning.ready(owner.now());
+        }
     }
 
     /**
@@ -543,6 +556,44 @@
         listing = new Listing();
     }
 
+    /** How far this balancer has come back is told from now on. */
+    public void returns(Returning steps) {
+        returning = steps;
+        lookAgain();
+    }
+
+    private void lookAgain() {
+        if (returning.due() < Long.MAX_VALUE || returning.step() == Returning.Step.LISTED) {
+            owner.at(Math.min(returning.due(), owner.now() + limits.warmUp()), () -> {
+                returning.look(owner.now());
+                lookAgain();
+            });
+        }
+    }
+
+    @Override
+    public String step() {
+        return returning == null ? "" : returning.step().name().toLowerCase(java.util.Locale.ROOT);
+    }
+
+    @Override
+    public ObjectNode status() {
+        ObjectNode status = new ObjectMapper().createObjectNode();
+        long time = owner.now();
+        status.put("ready", ready()).put("callsHeld", byClient.size()).put("clientConnections", clients.size());
+        if (returning != null) {
+            status.put("step", step()).put("stepForMs", (time - returning.since()) / 1_000_000);
+        }
+        ObjectNode list = status.putObject("list").put("discovery", discovery.address().toString().replaceFirst("^.*/", ""));
+        if (discovery.confirmedAt() > 0) {
+            list.put("confirmedMsAgo", (time - discovery.confirmedAt()) / 1_000_000);
+        }
+        if (listing != null) {
+            list.put("upstreams", listing.size());
+        }
+        return status;
+    }
+
     /** The list as held and when it was last confirmed; null before that. */
     public State.Listed listed() {
         return listing.listed(discovery.address(), discovery.confirmedAt());
--- a/balancer/src/main/java/gorsestack/memory/Listing.java
+++ b/balancer/src/main/java/gorsestack/memory/Listing.java
@@ -34,6 +34,10 @@
         }
     }
 
+    int size() {
+        return members.size();
+    }
+
     private static String text(InetSocketAddress address) {
         String host = address.getAddress().getHostAddress();
         return (host.contains(":") ? "[" + host + "]" : host) + ":" + address.getPort();
--- a/balancer/src/main/java/gorsestack/operate/Management.java
+++ b/balancer/src/main/java/gorsestack/operate/Management.java
@@ -1,5 +1,7 @@
 package gorsestack.operate;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import gorsestack.settings.Limits;
 import gorsestack.wire.Answer;
 import gorsestack.wire.BadMessage;
@@ -27,6 +29,11 @@
         /** Out while back is OUT, else back since then. */
         void byHand(String upstream, long back);
 
+        /** What there is to be seen of it. */
+        default ObjectNode status() {
+            return null;
+        }
+
         /** Sends clients away, or takes them in again. */
         void away(boolean away);
     }
@@ -37,6 +44,7 @@
     private final Owner owner;
     private final Balancer balancer;
     private Handover handover;
+    private long incarnation;
     /** What was said by hand, to this process or to the other. */
     private final Map<String, Long> byHand = new HashMap<>();
     private final Set<Caller> callers = new LinkedHashSet<>();
@@ -76,6 +84,10 @@
                     : say(balancer.ready(), balancer.ready() ? "ready" : "not ready"));
             return;
         }
+        if (target.equals("/status") && method.equals("GET") && balancer.status() != null) {
+            answer.accept(Answer.own(200, "", status().toString()));
+            return;
+        }
         boolean health = target.equals("/healthcheck/fail") || target.equals("/healthcheck/ok");
         String[] parts = target.split("/", -1);
         boolean upstream = parts.length == 4 && parts[0].isEmpty() && parts[1].equals("upstreams")
@@ -94,6 +106,19 @@
         }
     }
 
+    private ObjectNode status() {
+        ObjectNode status = balancer.status();
+        status.put("incarnation", incarnation);
+        ArrayNode out = status.putArray("outByHand");
+        byHand.entrySet().stream().filter(e -> e.getValue() == Handover.OUT).map(Map.Entry::getKey).sorted().forEach(out::add);
+        return status;
+    }
+
+    /** This process's number, where it has one. */
+    public void incarnation(long number) {
+        incarnation = number;
+    }
+
     private void maintain(String encoded, boolean out, Consumer<Answer> answer) {
         String id;
         try {
--- a/balancer/src/main/java/gorsestack/serve/Service.java
+++ b/balancer/src/main/java/gorsestack/serve/Service.java
@@ -5,6 +5,7 @@
 import gorsestack.operate.Handover;
 import gorsestack.operate.Management;
 import gorsestack.recovery.Restore;
+import gorsestack.recovery.Returning;
 import gorsestack.recovery.State;
 import gorsestack.settings.Limits;
 import gorsestack.wire.ClientConnection;
@@ -51,6 +52,10 @@
                 configuration.discovery(), listKept ? restored.listed().index() : configuration.known().index());
         if (restored != null) {
             calls.keepList();
+            long now = owner.now();
+            long askWithin = configuration.settings().rules().askWithin();
+            owner.execute(() -> calls.returns(new Returning(now, askWithin, configuration.settings().rules().cold(),
+                    (step, why) -> LOG.log(System.Logger.Level.INFO, "{0} after {1} ms: {2}", step, (owner.now() - now) / 1_000_000, why))));
         }
         if (listKept) {
             // Rule 3: what discovery had to tell meanwhile counts as told from then, not from this start.
@@ -103,6 +108,7 @@
             handover.start();
             if (restored != null) {
                 handover.keep(restored.incarnation());
+                management.incarnation(restored.incarnation());
             }
         }
         if (!configuration.peers().isEmpty()) {
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -31,6 +31,11 @@
 
         boolean ready();
 
+        /** How far it has come back, in a word; empty where that is not told. */
+        default String step() {
+            return "";
+        }
+
         /** Whether connections are to be closed after the next answer. */
         boolean closing();
 
@@ -216,7 +221,9 @@
         served = true;
         last = head.start[2].equals("HTTP/1.0") || head.lists("connection", "close");
         if (head.start[1].equals("/_health")) {
-            answer(intake.ready() ? Answer.own(200, "", "ready") : Answer.own(503, "", "not ready"));
+            String step = intake.step();
+            String ready = (intake.ready() ? "ready" : "not ready") + (step.isEmpty() ? "" : "; " + step);
+            answer(Answer.own(intake.ready() ? 200 : 503, "", ready));
             return;
         }
         try {
--- a/balancer/src/test/java/gorsestack/serve/UpgradeTest.java
+++ b/balancer/src/test/java/gorsestack/serve/UpgradeTest.java
@@ -181,6 +181,19 @@
                 .header("X-Time-Left", "2000m").timeout(Duration.ofSeconds(5)).build(), HttpResponse.BodyHandlers.discarding()).statusCode();
     }
 
+    /** What the command line shows, as one who asks for JSON sees it. */
+    private static String status(int mgmt, int code) {
+        java.io.ByteArrayOutputStream out = new java.io.ByteArrayOutputStream();
+        java.io.PrintStream before = System.out;
+        System.setOut(new java.io.PrintStream(out, true, java.nio.charset.StandardCharsets.UTF_8));
+        try {
+            assertEquals(code, new picocli.CommandLine(new gorsestack.Main()).execute("status", "--json", "127.0.0.1:" + mgmt));
+        } finally {
+            System.setOut(before);
+        }
+        return out.toString(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
     /** Discovery is down when it comes back; what was kept of the list and what was said by hand hold. */
     @Test
     void comesBackWithItsListAndBansAfterAKill() throws Exception {
@@ -216,6 +229,15 @@
                 return false;
             }
         });
+        until("as full as it gets", () -> {
+            try {
+                read(port, "w" + System.nanoTime());
+                return status(mgmt, 0).contains("\"step\":\"full\"");
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        assertTrue(status(mgmt, 0).contains("\"outByHand\":[\"s0\"]"), status(mgmt, 0));
         first.destroyForcibly().waitFor();
         discovery.stop(0);
         int before = to[0].get();
@@ -225,6 +247,11 @@
             assertEquals(200, read(port, "b" + i));
         }
         assertEquals(before, to[0].get(), "out by hand, over a kill");
+        String dark = status(again, 0);
+        assertTrue(dark.contains("\"step\":\"cold\"") && dark.contains("\"upstreams\":3") && !dark.contains("confirmedMsAgo"), dark);
+        assertEquals("ready; cold", HTTP.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/_health")).build(),
+                HttpResponse.BodyHandlers.ofString()).body().strip());
+        status(port(), 2); // nobody listens there
         assertEquals(200, ask(again, "PUT", "/upstreams/s0/ready"));
         String log = Files.readString(folder.resolve("log" + again));
         assertTrue(log.contains("kept were a list of 3 upstreams"), log);
--- a/lab/src/main/java/gorsestack/lab/Main.java
+++ b/lab/src/main/java/gorsestack/lab/Main.java
@@ -30,7 +30,7 @@
         subcommands = {Main.Play.class, Main.ListAll.class, Main.Check.class, Main.Again.class, Main.Beside.class})
 public final class Main implements Callable<Integer> {
     private static final int BAD = 2;
-    private static final List<String> BUILT_IN = List.of("calm", "restart-70", "restart-all", "cut-zone", "stall", "flap", "smoke", "restart",
+    private static final List<String> BUILT_IN = List.of("calm", "restart-70", "restart-all", "restart-dark", "cut-zone", "stall", "flap", "smoke", "restart",
             "cut");
 
     public static void main(String[] args) {
--- a/lab/src/main/java/gorsestack/lab/judge/Figures.java
+++ b/lab/src/main/java/gorsestack/lab/judge/Figures.java
@@ -25,7 +25,7 @@
     private static final long STEP = SECOND / 10;
 
     /** A call: all its tries together. */
-    public record Call(int number, String product, String zone, long intended, long ended, String end, double worth) {
+    public record Call(int number, String product, String zone, String tenant, long intended, long ended, String end, double worth) {
         public boolean served() {
             return end.equals("served");
         }
@@ -57,7 +57,7 @@
                 String how = t.end().equals("200") && t.right() && inTime ? "served"
                         : t.end().equals("429") || t.end().equals("503") ? "rate-limited" : t.end().equals("left") ? "left" : "errored";
                 double worth = !how.equals("served") ? 0 : took <= product.sloMs() * 1e6 ? 1 : product.lateWorth();
-                calls.add(new Call(t.call(), t.product(), t.zone(), first.get(t.call()), t.ended(), how, worth * product.worth()));
+                calls.add(new Call(t.call(), t.product(), t.zone(), t.tenant(), first.get(t.call()), t.ended(), how, worth * product.worth()));
             }
         }
         calls.sort(Comparator.comparingLong(Call::intended));
@@ -98,6 +98,7 @@
             case "served_worst_second" -> worst(some, c -> c.intended / SECOND);
             case "served_worst_zone" -> worst(some, Call::zone);
             case "served_worst_product" -> worst(some, Call::product);
+            case "served_worst_tenant" -> worst(some, Call::tenant);
             case "rate_limited" -> part(some, "rate-limited");
             case "errored" -> part(some, "errored");
             case "lost" -> lost;
--- a/lab/src/main/java/gorsestack/lab/judge/Records.java
+++ b/lab/src/main/java/gorsestack/lab/judge/Records.java
@@ -28,7 +28,7 @@
      * upstream made for it. Number counts from 0, last is whether the client makes no other.
      */
     public record Try(String id, int call, int number, String product, String zone, int balancer, long intended, long sent, long left,
-            long ended, String end, boolean first, boolean right, double retryAfter, boolean last, String party) { }
+            long ended, String end, boolean first, boolean right, double retryAfter, boolean last, String party, String tenant) { }
 
     /** One shot at an upstream; last is when its last byte came. Answered is when the answer was written, or NEVER. */
     public record Shot(String id, String key, String product, int tier, int upstream, String zone, int cell, int balancer, long begun,
--- a/lab/src/main/java/gorsestack/lab/process/Fleet.java
+++ b/lab/src/main/java/gorsestack/lab/process/Fleet.java
@@ -83,6 +83,11 @@
             for (int b : whom) {
                 ObjectNode before = lastKnown.remove(b);
                 ObjectNode list = before != null ? before : world.loop.submit(() -> known.known(b)).get();
+                if (before != null && world.scenario.fleet().forgets()) {
+                    list = JSON.createObjectNode().put("index", 0).put("snapshot", true);
+                    list.putArray("endpoints");
+                }
+
                 int move = world.loop.submit(known::discoveryMove).get();
                 Files.writeString(balancers.get(b).config(), config(b, list, move).toPrettyString());
             }
--- a/lab/src/main/java/gorsestack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/gorsestack/lab/scenario/Scenario.java
@@ -4,10 +4,11 @@
 
 /** What a run is: the fleet, what stands round it, what goes wrong, and what has to hold. Times in seconds unless named. */
 public record Scenario(String name, String about, double seconds, double lead, double settle, List<String> zones, Fleet fleet, List<Tier> tiers,
-        Discovery discovery, Rules rules, List<Product> products, Load load, List<Fault> faults, List<Invariant> invariants) {
+        Discovery discovery, Rules rules, List<Product> products, List<Tenant> tenants,
+        Load load, List<Fault> faults, List<Invariant> invariants) {
 
     /** The balancers of the first tier; each upstream of a tier that calls the next has one more beside it. */
-    public record Fleet(int balancers, double cores, int memoryMb, int sockets, boolean peers, boolean mgmt, boolean state,
+    public record Fleet(int balancers, double cores, int memoryMb, int sockets, boolean peers, boolean mgmt, boolean state, boolean forgets,
             double readyWithin, double healthEvery, double deadAfter) { }
 
     /** Upstream stand-ins of one tier; calls is how often a request there calls the next tier, one after another. */
@@ -24,6 +25,9 @@
     public record Product(String name, String semantics, String keyScope, double repeatWindow, double share, double workMs,
             double spread, double sloMs, double timeoutMs, double worth, double lateWorth) { }
 
+    /** A team whose calls carry its name; share of the calls. */
+    public record Tenant(String name, double share) { }
+
     /** Calls a second over the fleet, open loop; uneven is how many times the busiest zone has of the quietest. */
     public record Load(double rate, double uneven, int tries, double waitMs, double tryTimeout, double leave) { }
 
--- a/lab/src/main/java/gorsestack/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/gorsestack/lab/scenario/ScenarioReader.java
@@ -7,6 +7,7 @@
 import gorsestack.lab.scenario.Scenario.Load;
 import gorsestack.lab.scenario.Scenario.Product;
 import gorsestack.lab.scenario.Scenario.Rules;
+import gorsestack.lab.scenario.Scenario.Tenant;
 import gorsestack.lab.scenario.Scenario.Tier;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -32,7 +33,7 @@
     /** Figures that an invariant may name, as Figures computes them. */
     public static final List<String> FIGURES = List.of("served", "served_worst_second", "rate_limited", "errored", "lost",
             "time_to_full_s", "shots_per_call", "peak_list_calls", "peak_list_calls_over_steady", "peak_connections",
-            "peak_connections_over_steady", "peak_shots_over_steady", "p99_ms", "served_worst_zone", "served_worst_product",
+            "peak_connections_over_steady", "peak_shots_over_steady", "p99_ms", "served_worst_zone", "served_worst_product", "served_worst_tenant",
             "datagrams_per_second", "crashes", "killed_after_term");
 
     private ScenarioReader() { }
@@ -62,6 +63,11 @@
         if (products.isEmpty()) {
             products.addAll(usual());
         }
+        List<Tenant> tenants = new ArrayList<>();
+        for (Section s : all.sections("tenants")) {
+            tenants.add(new Tenant(s.text("name", null), s.number("share", 1, 0, 1e6)));
+            s.nothingElse();
+        }
         double seconds = all.number("seconds", NONE, 1, 3600);
         List<Fault> faults = new ArrayList<>();
         for (Section s : all.sections("faults")) {
@@ -73,7 +79,7 @@
         }
         Scenario scenario = new Scenario(all.text("name", null), all.text("about", null), seconds, all.number("lead", 3, 0, 60), all.number("settle", 5, 0, 600),
                 zones, fleet(all.section("fleet")), tiers, discovery(all.section("discovery")), rules(all.section("rules")), products,
-                load(all.section("load")), faults, invariants);
+                tenants, load(all.section("load")), faults, invariants);
         all.nothingElse();
         if (scenario.processes() > 200) {
             throw all.bad("fleet", "and tiers together make " + scenario.processes() + " processes; 200 at most");
@@ -83,7 +89,7 @@
 
     private static Fleet fleet(Section s) throws BadScenario {
         Fleet fleet = new Fleet(s.whole("balancers", 24, 1, 200), s.number("cores", 0.5, 0.05, 64), s.whole("memory_mb", 144, 32, 65536),
-                s.whole("sockets", 512, 96, 65536), s.flag("peers", false), s.flag("mgmt", false), s.flag("state", false),
+                s.whole("sockets", 512, 96, 65536), s.flag("peers", false), s.flag("mgmt", false), s.flag("state", false), s.flag("forgets", false),
                 s.number("ready_within", 30, 1, 600), s.number("health_every", 0.2, 0.02, 60), s.number("dead_after", 1, 0.1, 600));
         s.nothingElse();
         return fleet;
--- a/lab/src/main/java/gorsestack/lab/standin/Clients.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Clients.java
@@ -4,6 +4,7 @@
 import gorsestack.lab.judge.Records.Try;
 import gorsestack.lab.scenario.Scenario.Load;
 import gorsestack.lab.scenario.Scenario.Product;
+import gorsestack.lab.scenario.Scenario.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -166,10 +167,23 @@
             pick -= products.get(p++).share();
         }
         open++;
-        attempt(new Call(calls++, products.get(p), world.scenario.zones().get(z), intended), intended, 0);
+        attempt(new Call(calls++, products.get(p), world.scenario.zones().get(z), tenant(), intended), intended, 0);
     }
 
-    private record Call(int number, Product product, String zone, long intended) { }
+    private record Call(int number, Product product, String zone, String tenant, long intended) { }
+
+    private String tenant() {
+        List<Tenant> tenants = world.scenario.tenants();
+        if (tenants.isEmpty()) {
+            return "";
+        }
+        double pick = arrivals.nextDouble() * tenants.stream().mapToDouble(Tenant::share).sum();
+        int t = 0;
+        while (t < tenants.size() - 1 && pick >= tenants.get(t).share()) {
+            pick -= tenants.get(t++).share();
+        }
+        return tenants.get(t).name();
+    }
 
     private Seen deal(String zone) {
         List<Seen> here = fleet.stream().filter(s -> s.in && s.zone.equals(zone)).toList();
@@ -194,7 +208,7 @@
         long gives = leaves ? intended + (long) (left * chosen.nextDouble()) : until;
         // What is left when it is sent, not when it was intended.
         double leftMs = Math.max(1, (intended + left - world.now()) / 1e6);
-        Upstream.call(seen.calls, call.product, id, "k" + call.number, leftMs, gives, answer -> {
+        Upstream.call(seen.calls, call.product, id, "k" + call.number, call.tenant, leftMs, gives, answer -> {
             if (answer.end().equals("closed") && !answer.first() && !again && !world.reached.contains(id)) {
                 // Closed between requests, which crossed this one: once more on another connection, as clients do.
                 Seen other = deal(call.zone);
@@ -219,7 +233,7 @@
             again &= answer.end().equals("429") || answer.end().equals("503") || answer.sent() == Records.NEVER;
         }
         world.records.tries.add(new Try(id, call.number, number, call.product.name(), call.zone, balancer, intended, answer.sent(), left,
-                answer.ended(), answer.end(), answer.first(), right, answer.retryAfter(), !again, "clients-" + call.zone));
+                answer.ended(), answer.end(), answer.first(), right, answer.retryAfter(), !again, "clients-" + call.zone, call.tenant));
         if (!again) {
             open--;
             return;
--- a/lab/src/main/java/gorsestack/lab/standin/Upstream.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Upstream.java
@@ -237,7 +237,7 @@
             }
             String id = shot.id() + "." + number + "." + calls++;
             long until = world.now() + (long) (product.timeoutMs() * 1e6);
-            call(behind, product, id, shot.key(), product.timeoutMs(), until, answer -> {
+            call(behind, product, id, shot.key(), "", product.timeoutMs(), until, answer -> {
                 if (answer.end().equals("200")) {
                     next(ctx, j, shot, product, left - 1, work);
                 } else if (open == shot) {
@@ -304,10 +304,13 @@
     }
 
     /** A call by the protocol's page. */
-    static void call(Caller by, Product product, String id, String key, double leftMs, long until, Caller.Done done) {
+    static void call(Caller by, Product product, String id, String key, String tenant, double leftMs, long until, Caller.Done done) {
         boolean safe = product.semantics().equals("free");
         Map<String, String> headers = new java.util.LinkedHashMap<>();
         headers.put("X-Correlation-Id", id);
+        if (!tenant.isEmpty()) {
+            headers.put("X-Tenant", tenant);
+        }
         headers.put("X-Time-Left", Math.round(leftMs * 1000) + "u");
         if (product.semantics().equals("guarded")) {
             headers.put("Idempotency-Key", key.isEmpty() ? id : key);
--- a/lab/src/test/java/gorsestack/lab/judge/JudgeTest.java
+++ b/lab/src/test/java/gorsestack/lab/judge/JudgeTest.java
@@ -46,7 +46,7 @@
 
     private void tried(String id, String product, long at, long ended, String end, boolean right) {
         records.tries.add(new Try(id, records.tries.size(), 0, product, "a", 0, at * MS, at * MS, 3000 * MS, ended * MS, end, true, right, 0,
-                true, "clients-a"));
+                true, "clients-a", ""));
     }
 
     private void shot(String id, String product, int upstream, long at, String outcome, long answered) {
@@ -252,7 +252,7 @@
         assertEquals(70 / 3000.0, figures.get("errored", "after"), 1e-9);
         for (int i = 0; i < 6000; i += 5) {
             records.tries.set(i, new Try("x" + i, i, 0, "read", "a", 0, i * 10 * MS, 0, 3000 * MS, i * 10 * MS, "502", true, false, 0, true,
-                    "clients-a"));
+                    "clients-a", ""));
         }
         records.faults.set(0, new Happened(0, "kill", 50_000 * MS, 50_000 * MS, List.of(), true));
         assertEquals(0, new Figures(scenario, records, 0).timeToFull(), 0.11, "a share that was 0.8 before");
