--- a/balancer/src/main/java/gorsestack/operate/Handover.java
+++ b/balancer/src/main/java/gorsestack/operate/Handover.java
@@ -124,7 +124,7 @@
 
     /** From now on the list and what was learnt are kept too, for a process that starts when this one has gone. */
     public void keep(long number) {
-        incarnation = number;
+        thread.execute(() -> incarnation = Math.max(incarnation, number));
         thread.scheduleWithFixedDelay(() -> owner.execute(() -> {
             State.Listed held = listener.listed();
             double[][] rows = listener.learnt();
--- a/lab/src/main/java/gorsestack/lab/Main.java
+++ b/lab/src/main/java/gorsestack/lab/Main.java
@@ -30,8 +30,8 @@
         subcommands = {Main.Play.class, Main.ListAll.class, Main.Check.class, Main.Again.class, Main.Beside.class})
 public final class Main implements Callable<Integer> {
     private static final int BAD = 2;
-    private static final List<String> BUILT_IN = List.of("calm", "restart-70", "restart-all", "restart-dark", "cut-zone", "stall", "flap", "smoke", "restart",
-            "cut");
+    private static final List<String> BUILT_IN = List.of("calm", "restart-70", "restart-all", "restart-dark", "restart-over", "restart-state",
+            "cut-zone", "stall", "flap", "smoke", "restart", "cut");
 
     public static void main(String[] args) {
         System.setProperty("java.awt.headless", "true");
--- a/lab/src/main/java/gorsestack/lab/process/Balancer.java
+++ b/lab/src/main/java/gorsestack/lab/process/Balancer.java
@@ -26,6 +26,7 @@
             exit $rc
             """;
 
+    /** Which it is, from nought. */
     public final int number;
     public final Path folder;
     private final Path root;
--- a/lab/src/main/java/gorsestack/lab/run/Run.java
+++ b/lab/src/main/java/gorsestack/lab/run/Run.java
@@ -24,7 +24,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
@@ -172,10 +171,9 @@
             }
         }
         on(() -> clients.stop());
-        CountDownLatch over = new CountDownLatch(1);
         long until = System.nanoTime() + (long) ((s.settle() + 4) * 1e9);
         while (on(() -> clients.open()) > 0 && System.nanoTime() < until) {
-            over.await(50, TimeUnit.MILLISECONDS);
+            Thread.sleep(50);
         }
         measuring = false;
         return null;
--- a/lab/src/main/java/gorsestack/lab/standin/Clients.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Clients.java
@@ -57,6 +57,8 @@
     private boolean ended;
     private int calls;
     private int open;
+    /** When the next call comes. */
+    private long next;
 
     /** Told of each balancer that has become ready. */
     public Clients(World world, IntConsumer ready) {
@@ -151,8 +153,6 @@
         });
     }
 
-    private long next;
-
     private void begin(long intended) {
         double draw = arrivals.nextDouble();
         int z = 0;
--- a/lab/src/main/java/gorsestack/lab/standin/Upstream.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Upstream.java
@@ -114,7 +114,7 @@
         doors.values().forEach(door -> door.close(true));
     }
 
-    /** Comes back under a new name? No: the same process name, cold, and discovery tells since when. */
+    /** Comes back under its name, cold; discovery tells since when. */
     public void restart() {
         up = true;
         draining = false;
