--- a/lab/src/main/java/gorsestack/lab/judge/Figures.java
+++ b/lab/src/main/java/gorsestack/lab/judge/Figures.java
@@ -107,9 +107,9 @@
             case "p99_ms" -> quantile(some, 99);
             case "peak_list_calls" -> peak(listTimes(), from(over), until(over));
             case "peak_list_calls_over_steady" -> overSteady(listTimes());
-            case "peak_connections" -> opened(s -> s.second() * SECOND >= from(over) && s.second() * SECOND < until(over));
-            case "peak_connections_over_steady" -> opened(s -> s.second() * SECOND >= faultAt)
-                    / Math.max(1, opened(s -> s.second() * SECOND < faultAt));
+            case "peak_connections" -> opened(s -> (s.second() + 1) * SECOND > from(over) && (s.second() + 1) * SECOND <= until(over));
+            case "peak_connections_over_steady" -> opened(s -> (s.second() + 1) * SECOND > faultAt)
+                    / Math.max(1, opened(s -> (s.second() + 1) * SECOND <= faultAt));
             case "peak_shots_over_steady" -> shotsOverSteady();
             case "datagrams_per_second" -> records.seconds.isEmpty() ? 0
                     : records.seconds.get(records.seconds.size() - 1).datagrams() / scenario.seconds();
--- a/lab/src/main/java/gorsestack/lab/run/Run.java
+++ b/lab/src/main/java/gorsestack/lab/run/Run.java
@@ -182,7 +182,12 @@
     private void begin() {
         world.records.listCalls.clear();
         // Calls come before that, as the lab's own code and the program's is compiled meanwhile, as it would be by then.
+        List<Records.Process> before = List.copyOf(world.records.processes);
+        long then = world.now();
         world.begin((long) (plan.scenario.lead() * 1e9));
+        long back = then - world.now();
+        world.records.processes.clear();
+        before.forEach(p -> world.records.processes.add(new Records.Process(p.balancer(), p.what(), p.at() - back)));
         measuring = true;
         tick(TICK);
         world.at(0, () -> world.opened = 0);
--- a/lab/src/main/java/gorsestack/lab/standin/Caller.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Caller.java
@@ -52,6 +52,7 @@
         link = world.links.between(party, "n" + balancer);
         address = world.addresses.balancer(balancer);
         random = world.random.split();
+        world.onShift(back -> idle.forEach(c -> c.idleSince -= back));
     }
 
     /** One connection. */
--- a/lab/src/main/java/gorsestack/lab/standin/Clients.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Clients.java
@@ -35,6 +35,7 @@
             zone = world.zone(balancer);
             health = new Caller(world, "front-" + zone, balancer);
             calls = new Caller(world, "clients-" + zone, balancer);
+            world.onShift(back -> lastYes -= back);
         }
 
         void end() {
--- a/lab/src/main/java/gorsestack/lab/standin/Discovery.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Discovery.java
@@ -60,6 +60,7 @@
         late = world.scenario.discovery().late();
         upstreams.all.forEach(u -> list.put(u.number, new Entry(u, "in_service", u.startedAtMs)));
         index++;
+        world.onShift(back -> free -= back);
         open();
         world.in(HEARTBEAT, this::heartbeat);
     }
--- a/lab/src/main/java/gorsestack/lab/standin/Machine.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Machine.java
@@ -173,6 +173,13 @@
         offeredWork = 0;
     }
 
+    /** The clock was set back by so much. */
+    void shift(long back) {
+        startedAt -= back;
+        offered.clear();
+        offeredWork = 0;
+    }
+
     /** Starts again, cold. */
     public void restart() {
         crash();
--- a/lab/src/main/java/gorsestack/lab/standin/Upstream.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Upstream.java
@@ -78,6 +78,7 @@
         // Every third is of the other kind.
         machine = new Machine(world, number % 3 == 2 ? kind.speed() * kind.slowKind() : kind.speed(), kind.slots(), kind.queue(),
                 rules.cold(), rules.coldShare(), rules.fall(), rules.fallMultiple(), warm, this::fell);
+        world.onShift(machine::shift);
         behind = beside < 0 ? null : new Caller(world, "u" + number, beside);
         for (int b : balancers) {
             int balancer = b;
--- a/lab/src/main/java/gorsestack/lab/standin/World.java
+++ b/lab/src/main/java/gorsestack/lab/standin/World.java
@@ -6,8 +6,11 @@
 import gorsestack.lab.net.Links;
 import gorsestack.lab.scenario.Scenario;
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 
 /** What all stand-ins share. Everything in it is confined to the loop. */
 public final class World implements Machine.Timer {
@@ -21,6 +24,7 @@
     public final java.util.Set<String> reached = new java.util.HashSet<>();
     public long datagrams;
     public int opened;
+    private final List<LongConsumer> shifts = new ArrayList<>();
     private long start = System.nanoTime();
 
     public World(Scenario scenario, EventLoop loop, Addresses addresses, long seed) {
@@ -32,7 +36,15 @@
 
     /** From so long after now times are counted; what is before is below nought. */
     public void begin(long lead) {
+        long before = now();
         start = System.nanoTime() + lead;
+        long back = before - now();
+        shifts.forEach(shift -> shift.accept(back));
+    }
+
+    /** Danger: a time kept from before the load, taken for one that is still to come. Told by how much clocks were set back. */
+    void onShift(LongConsumer shift) {
+        shifts.add(shift);
     }
 
     @Override
--- a/lab/src/test/java/gorsestack/lab/judge/JudgeTest.java
+++ b/lab/src/test/java/gorsestack/lab/judge/JudgeTest.java
@@ -258,6 +258,18 @@
         assertEquals(0, new Figures(scenario, records, 0).timeToFull(), 0.11, "a share that was 0.8 before");
     }
 
+    /** Seen: a kill at 15.0003 s, whose second counted as before it. */
+    @Test
+    void aFaultsOwnSecondIsAfterIt() {
+        records.faults.add(new Happened(0, "kill", 15_000 * MS + 300_000, 15_000 * MS + 300_000, List.of("n0"), true));
+        for (int s = 0; s < 20; s++) {
+            records.seconds.add(new Records.Second(s, 0, s == 15 ? 63 : s == 14 ? 2 : 1, 0));
+        }
+        Figures figures = new Figures(scenario, records, 0);
+        assertEquals("2.0 63.0 31.5", figures.get("peak_connections", "before") + " " + figures.get("peak_connections", "after") + " "
+                + figures.get("peak_connections_over_steady", "all"));
+    }
+
     @Test
     void countsPeaksInAnySecond() {
         assertEquals(4, Figures.peak(new long[] {900 * MS, 1500 * MS, 1850 * MS, 1899 * MS}, 0, 5000 * MS));
