Lab: parameters that were always the same and methods nobody calls are gone

Read once more: Door's retry took a task and a flag of one value each, Faults.end a delay of nought, Caller.call a flag that was never true; four methods and one set had no caller.

--- a/lab/src/main/java/gorsestack/lab/judge/Figures.java
+++ b/lab/src/main/java/gorsestack/lab/judge/Figures.java
@@ -2,7 +2,6 @@
 
 import gorsestack.lab.judge.Records.Happened;
 import gorsestack.lab.judge.Records.Second;
-import gorsestack.lab.judge.Records.Shot;
 import gorsestack.lab.judge.Records.Try;
 import gorsestack.lab.scenario.Scenario;
 import java.util.ArrayList;
@@ -240,8 +239,4 @@
     public static double served(List<Call> some) {
         return share(some);
     }
-
-    public List<Shot> shots() {
-        return records.shots;
-    }
 }
--- a/lab/src/main/java/gorsestack/lab/judge/Judge.java
+++ b/lab/src/main/java/gorsestack/lab/judge/Judge.java
@@ -13,7 +13,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** Whether the four rules were kept, from what clients, upstreams and discovery saw. A balancer's own word counts for nothing. */
 public final class Judge {
@@ -225,7 +224,4 @@
             }
         }
     }
-
-    /** The rules by name. */
-    public static final Set<String> RULES = Set.of("lost", "dup", "drain", "cold");
 }
--- a/lab/src/main/java/gorsestack/lab/net/Door.java
+++ b/lab/src/main/java/gorsestack/lab/net/Door.java
@@ -81,7 +81,7 @@
             closeHole();
         }
         if (silent && hole == null) {
-            again(this::openHole, silent, TRIES);
+            openHole(TRIES);
         }
         if (listen && listener == null) {
             bind();
@@ -89,25 +89,21 @@
     }
 
     /** Danger: a listener that was closed a moment ago still holds its address until its selector has turned. */
-    private void again(ThrowingTask task, boolean forSilence, int left) {
-        if (forSilence == link.comesUp() || hole != null) {
+    private void openHole(int left) {
+        if (link.comesUp() || hole != null) {
             return; // changed meanwhile
         }
         try {
-            task.run();
+            openHole();
         } catch (IOException e) {
             if (left == 0) {
                 Problem.report(new IOException("cannot drop at " + address + ": " + e.getMessage(), e));
             } else {
-                loop.schedule(() -> again(task, forSilence, left - 1), 1, TimeUnit.MILLISECONDS);
+                loop.schedule(() -> openHole(left - 1), 1, TimeUnit.MILLISECONDS);
             }
         }
     }
 
-    private interface ThrowingTask {
-        void run() throws IOException;
-    }
-
     private void bind() {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
--- a/lab/src/main/java/gorsestack/lab/process/Fleet.java
+++ b/lab/src/main/java/gorsestack/lab/process/Fleet.java
@@ -87,7 +87,6 @@
                     list = JSON.createObjectNode().put("index", 0).put("snapshot", true);
                     list.putArray("endpoints");
                 }
-
                 int move = world.loop.submit(known::discoveryMove).get();
                 Files.writeString(balancers.get(b).config(), config(b, list, move).toPrettyString());
             }
--- a/lab/src/main/java/gorsestack/lab/run/Faults.java
+++ b/lab/src/main/java/gorsestack/lab/run/Faults.java
@@ -141,16 +141,16 @@
 
     private void end(String signal, Fault fault, List<Integer> whom) {
         if (fault.every() > 0) {
-            spread(fault, whom, one -> end(signal, fault, List.of(one), 0));
+            spread(fault, whom, one -> endNow(signal, fault, List.of(one)));
         } else {
-            end(signal, fault, whom, 0);
+            endNow(signal, fault, whom);
         }
     }
 
-    private void end(String signal, Fault fault, List<Integer> whom, long in) {
+    private void endNow(String signal, Fault fault, List<Integer> whom) {
         fleet.signal(signal, whom);
         if (fault.restartAfter() >= 0) {
-            world.in(in + nanos(fault.restartAfter()), () -> {
+            world.in(nanos(fault.restartAfter()), () -> {
                 // Its state is looked at once it has ended; both wait their turn behind the signal.
                 fleet.state(fault.state(), whom);
                 fleet.start(whom);
--- a/lab/src/main/java/gorsestack/lab/standin/Caller.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Caller.java
@@ -146,11 +146,11 @@
     }
 
     /** Sends on a kept connection, or a new one; ends once, until then at the latest. */
-    public void call(FullHttpRequest request, String id, long until, boolean fresh, Done done) {
+    public void call(FullHttpRequest request, String id, long until, Done done) {
         while (!idle.isEmpty() && idle.peekFirst().idleSince < world.now() - IDLE) {
             idle.pollFirst().channel.close();
         }
-        if (!fresh && !idle.isEmpty()) {
+        if (!idle.isEmpty()) {
             idle.pollLast().send(request, id, until, done);
             return;
         }
--- a/lab/src/main/java/gorsestack/lab/standin/Clients.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Clients.java
@@ -91,7 +91,7 @@
         }
         long every = (long) (world.scenario.fleet().healthEvery() * 1e9);
         long asked = world.now();
-        seen.health.call(Caller.request("GET", HEALTH, Map.of(), ""), "health", asked + 1_000_000_000L, false, answer -> {
+        seen.health.call(Caller.request("GET", HEALTH, Map.of(), ""), "health", asked + 1_000_000_000L, answer -> {
             boolean yes = answer.end().equals("200");
             if (yes && !seen.ready) {
                 ready.accept(seen.balancer);
--- a/lab/src/main/java/gorsestack/lab/standin/Stamp.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Stamp.java
@@ -22,10 +22,6 @@
         ctx.fireChannelRead(message);
     }
 
-    boolean begun() {
-        return begun;
-    }
-
     /** Of the message that is whole now. */
     long take() {
         begun = false;
--- a/lab/src/main/java/gorsestack/lab/standin/Upstream.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Upstream.java
@@ -316,7 +316,7 @@
         if (product.semantics().equals("guarded")) {
             headers.put("Idempotency-Key", key.isEmpty() ? id : key);
         }
-        by.call(Caller.request(safe ? "GET" : "POST", "/" + product.name(), headers, safe ? "" : "work"), id, until, false, done);
+        by.call(Caller.request(safe ? "GET" : "POST", "/" + product.name(), headers, safe ? "" : "work"), id, until, done);
     }
 
     /** All upstreams there are and were. */
