One way to write an address; the operators' status is put together once

Read once more: Listing, Configuration and Calls each wrote an address as text in a way of their own, beside Catalog.address, which reads it; Management asked for the status twice a call; a method of StateForm.Read had no caller.

--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -584,7 +584,7 @@
         if (returning != null) {
             status.put("step", step()).put("stepForMs", (time - returning.since()) / 1_000_000);
         }
-        ObjectNode list = status.putObject("list").put("discovery", discovery.address().toString().replaceFirst("^.*/", ""));
+        ObjectNode list = status.putObject("list").put("discovery", Catalog.text(discovery.address()));
         if (discovery.confirmedAt() > 0) {
             list.put("confirmedMsAgo", (time - discovery.confirmedAt()) / 1_000_000);
         }
--- a/balancer/src/main/java/gorsestack/memory/Listing.java
+++ b/balancer/src/main/java/gorsestack/memory/Listing.java
@@ -27,7 +27,7 @@
                 members.remove(e.id());
             } else {
                 // One that drains may be told of without its address.
-                String address = at != null ? text(at) : before != null ? before.address() : "";
+                String address = at != null ? Catalog.text(at) : before != null ? before.address() : "";
                 members.put(e.id(), new State.Member(e.id(), address, e.zone(), e.kind(), e.cell(),
                         e.state() == Upstreams.State.READY ? "in_service" : "terminating", e.weight(), e.startedAt() / 1_000_000));
             }
@@ -38,13 +38,8 @@
         return members.size();
     }
 
-    private static String text(InetSocketAddress address) {
-        String host = address.getAddress().getHostAddress();
-        return (host.contains(":") ? "[" + host + "]" : host) + ":" + address.getPort();
-    }
-
     State.Listed listed(InetSocketAddress discovery, long confirmed) {
-        return confirmed == 0 ? null : new State.Listed(index, text(discovery), confirmed, List.copyOf(members.values()));
+        return confirmed == 0 ? null : new State.Listed(index, Catalog.text(discovery), confirmed, List.copyOf(members.values()));
     }
 
     /** A list that was kept, as the module is told one that it had before. */
--- a/balancer/src/main/java/gorsestack/operate/Management.java
+++ b/balancer/src/main/java/gorsestack/operate/Management.java
@@ -84,8 +84,9 @@
                     : say(balancer.ready(), balancer.ready() ? "ready" : "not ready"));
             return;
         }
-        if (target.equals("/status") && method.equals("GET") && balancer.status() != null) {
-            answer.accept(Answer.own(200, "", status().toString()));
+        ObjectNode status = target.equals("/status") && method.equals("GET") ? status() : null;
+        if (status != null) {
+            answer.accept(Answer.own(200, "", status.toString()));
             return;
         }
         boolean health = target.equals("/healthcheck/fail") || target.equals("/healthcheck/ok");
@@ -108,6 +109,9 @@
 
     private ObjectNode status() {
         ObjectNode status = balancer.status();
+        if (status == null) {
+            return null;
+        }
         status.put("incarnation", incarnation);
         ArrayNode out = status.putArray("outByHand");
         byHand.entrySet().stream().filter(e -> e.getValue() == Handover.OUT).map(Map.Entry::getKey).sorted().forEach(out::add);
--- a/balancer/src/main/java/gorsestack/recovery/StateForm.java
+++ b/balancer/src/main/java/gorsestack/recovery/StateForm.java
@@ -27,12 +27,7 @@
     private StateForm() { }
 
     /** What was read. Whole is whether every line is there and right; wrong says in a few words what is not, or is empty. */
-    public record Read(State state, boolean whole, String wrong) {
-        /** Nothing at all could be told. */
-        public boolean nothing() {
-            return !whole && state.equals(State.NONE);
-        }
-    }
+    public record Read(State state, boolean whole, String wrong) { }
 
     public static String write(State state) {
         StringBuilder text = new StringBuilder(HEAD).append(VERSION).append('\n');
--- a/balancer/src/main/java/gorsestack/serve/Configuration.java
+++ b/balancer/src/main/java/gorsestack/serve/Configuration.java
@@ -83,12 +83,6 @@
         }
     }
 
-    /** As lists that are kept name where they are from. */
-    String discoveryText() {
-        String host = discovery.getAddress().getHostAddress();
-        return (host.contains(":") ? "[" + host + "]" : host) + ":" + discovery.getPort();
-    }
-
     private static void want(JsonNode given, boolean good, String what) throws IOException {
         if (!given.isMissingNode() && !good) {
             throw new IOException("settings: " + what + ", not " + given);
--- a/balancer/src/main/java/gorsestack/serve/Service.java
+++ b/balancer/src/main/java/gorsestack/serve/Service.java
@@ -8,6 +8,7 @@
 import gorsestack.recovery.Returning;
 import gorsestack.recovery.State;
 import gorsestack.settings.Limits;
+import gorsestack.wire.Catalog;
 import gorsestack.wire.ClientConnection;
 import gorsestack.wire.MinaNetwork;
 import gorsestack.wire.Network;
@@ -147,7 +148,7 @@
             LOG.log(System.Logger.Level.WARNING, "no state is kept: {0}", e.toString());
         }
         Restore.Restored found = Restore.of(Handover.store(configuration.state(), name(), true).load(), name(), owner.now(),
-                configuration.discoveryText(), configuration.known().index(), configuration.settings().rules().cold());
+                Catalog.text(configuration.discovery()), configuration.known().index(), configuration.settings().rules().cold());
         found.said().forEach(said -> LOG.log(System.Logger.Level.WARNING, "{0}", said));
         LOG.log(System.Logger.Level.INFO, "incarnation {0}; kept were {1}, {2} bans, {3} groups'' figures", Long.toString(found.incarnation()),
                 found.listed() == null ? "no list" : "a list of " + found.listed().members().size() + " upstreams, confirmed "
--- a/balancer/src/main/java/gorsestack/wire/Catalog.java
+++ b/balancer/src/main/java/gorsestack/wire/Catalog.java
@@ -73,6 +73,12 @@
         }
     }
 
+    /** As address reads it. */
+    public static String text(InetSocketAddress address) {
+        String host = address.getAddress().getHostAddress();
+        return (host.contains(":") ? "[" + host + "]" : host) + ":" + address.getPort();
+    }
+
     private static String cut(String text) {
         return text.length() > 200 ? text.substring(0, 200) + "..." : text;
     }
