Balancers know one another's processes: numbers in messages, a few peers asked after a start

Two processes in an upgrade may both have the datagram address open, where the second one's start failed before.

Off where settings allow no messages: no class of it is loaded there.

--- a/balancer/src/main/java/gorsestack/decision/Chance.java
+++ b/balancer/src/main/java/gorsestack/decision/Chance.java
@@ -3,17 +3,17 @@
 import java.util.zip.CRC32;
 
 /** Draws from an instance's seed and a counter: the same at every replay. */
-final class Chance {
+public final class Chance {
     private final CRC32 crc = new CRC32();
     private final long seed;
     private long draws;
 
-    Chance(long seed) {
+    public Chance(long seed) {
         this.seed = seed;
     }
 
     /** A number from 0 up to 1. */
-    double next() {
+    public double next() {
         crc.reset();
         draws++;
         for (int shift = 0; shift < 64; shift += 8) {
--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -21,7 +21,6 @@
 import gorsestack.wire.LoadReport;
 import gorsestack.wire.Network;
 import gorsestack.wire.Owner;
-import gorsestack.wire.Peers;
 import gorsestack.wire.Request;
 import gorsestack.wire.UpstreamConnection;
 import java.net.InetSocketAddress;
@@ -108,7 +107,7 @@
     private final Random random;
     private final Choice choice;
     private final LoadReport reports;
-    private Peers peers;
+    private Mail mail;
     private Listing listing;
     private Returning returning;
     private final Map<String, Settings.Product> products = new HashMap<>();
@@ -357,19 +356,22 @@
 
     @Override
     public void tell(int peer, byte[] message) {
-        if (peers != null) {
-            peers.tell(peer, message);
+        if (mail != null) {
+            mail.tell(peer, message);
         }
     }
 
     /** What carries messages to other balancers; without it none is sent. */
-    public void peers(Peers to) {
-        peers = to;
+    public void mail(Mail by) {
+        mail = by;
     }
 
     /** A message of another balancer's. */
-    public void heard(byte[] message) {
-        choice.peer(tick(), message);
+    public void heard(int peer, byte[] message) {
+        byte[] news = mail == null ? null : mail.heard(peer, message);
+        if (news != null) {
+            choice.peer(tick(), news);
+        }
     }
 
     @Override
@@ -591,9 +593,17 @@
         if (listing != null) {
             list.put("upstreams", listing.size());
         }
+        if (mail != null) {
+            mail.status(status);
+        }
         return status;
     }
 
+    /** The version of the list that is held. */
+    public long listIndex() {
+        return discovery.index();
+    }
+
     /** The list as held and when it was last confirmed; null before that. */
     public State.Listed listed() {
         return listing.listed(discovery.address(), discovery.confirmedAt());
--- /dev/null
+++ b/balancer/src/main/java/gorsestack/memory/Mail.java
@@ -0,0 +1,15 @@
+package gorsestack.memory;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** What carries messages between balancers, on the owner's thread. */
+public interface Mail {
+    /** To one peer, by its number; it may be lost. */
+    void tell(int peer, byte[] message);
+
+    /** What a peer's message has to tell the module, or null. */
+    byte[] heard(int peer, byte[] message);
+
+    /** What there is to be seen of it. */
+    default void status(ObjectNode status) { }
+}
--- a/balancer/src/main/java/gorsestack/operate/Handover.java
+++ b/balancer/src/main/java/gorsestack/operate/Handover.java
@@ -40,6 +40,9 @@
         /** What an older process of this balancer has learnt. */
         void learnt(double[][] told);
 
+        /** All that was said by hand, as it stands; after each change. */
+        default void saidByHand(Map<String, State.Ban> all) { }
+
         /** The list as held, for the next process; null where it is not kept, or none was confirmed. */
         default State.Listed listed() {
             return null;
@@ -55,6 +58,7 @@
     private static final long WRITING = END;
     /** Ten times within the shortest grace that is usual, 2 s. */
     private static final long LOOK_MS = 200;
+    private static final long MOMENT = 1_000_000_000L;
     /** Long past any upstream's cold time. */
     private static final long FORGET = 600_000_000_000L;
     /** Danger: a disk that is written to at every line of a release. A new list is kept a second late at most. */
@@ -260,6 +264,34 @@
         return false;
     }
 
+    /**
+     * What another balancer has kept of what was said here, for one that may have lost it; times are by ages told, so a moment's
+     * difference is none.
+     */
+    public void kept(Map<String, State.Ban> bans) {
+        thread.execute(() -> {
+            Map<String, State.Ban> fresh = new TreeMap<>(bans);
+            fresh.entrySet().removeIf(ban -> {
+                State.Ban here = known.get(ban.getKey());
+                return here != null && (here.back() == OUT) == (ban.getValue().back() == OUT)
+                        && Math.abs(here.said() - ban.getValue().said()) < MOMENT;
+            });
+            if (!fresh.isEmpty()) {
+                LOG.log(System.Logger.Level.INFO, "taken over as another balancer has kept it: {0}", fresh.keySet());
+                take(State.NONE.with(fresh));
+                write(() -> { });
+            }
+        });
+    }
+
+    /** Another number for this process, past one that was remembered elsewhere. */
+    public void number(long to) {
+        thread.execute(() -> {
+            incarnation = Math.max(incarnation, to);
+            write(() -> { });
+        });
+    }
+
     /** Danger: the yes to an operator must hold over a kill of this process; it is said once the file is there. */
     public void said(String upstream, long back, Runnable then) {
         long now = owner.now();
@@ -267,6 +299,7 @@
             known.put(upstream, new State.Ban(back, now));
             write(() -> { });
             owner.execute(then);
+            tellAll();
         });
     }
 
@@ -299,10 +332,18 @@
         }
     }
 
+    private void tellAll() {
+        Map<String, State.Ban> all = Map.copyOf(known);
+        owner.execute(() -> listener.saidByHand(all));
+    }
+
     /** Takes what is not known. */
     private void take(State found) {
         Map<String, State.Ban> before = known;
         known = new TreeMap<>(State.merged(known, found.bans()));
+        if (!known.equals(before)) {
+            tellAll();
+        }
         known.forEach((upstream, ban) -> {
             if (!before.containsKey(upstream) || before.get(upstream).back() != ban.back()) {
                 owner.execute(() -> listener.byHand(upstream, ban.back()));
--- a/balancer/src/main/java/gorsestack/recovery/Restore.java
+++ b/balancer/src/main/java/gorsestack/recovery/Restore.java
@@ -13,9 +13,10 @@
 
     /**
      * What holds now: bans in any case; the list or null, and when it was last confirmed; what was learnt, faded, or nothing; this
-     * process's incarnation; a line for each thing that does not count.
+     * process's incarnation; whether what was said by hand may be missing; a line for each thing that does not count.
      */
-    public record Restored(Map<String, State.Ban> bans, State.Listed listed, List<double[]> learnt, long incarnation, List<String> said) { }
+    public record Restored(Map<String, State.Ban> bans, State.Listed listed, List<double[]> learnt, long incarnation, boolean lost,
+            List<String> said) { }
 
     /**
      * Of a state found at a start.
@@ -29,18 +30,18 @@
         List<String> said = new ArrayList<>();
         long incarnation = Math.max(now / 1_000_000, 1);
         if (state.written() == 0) {
-            return new Restored(state.bans(), null, List.of(), incarnation, said);
+            return new Restored(state.bans(), null, List.of(), incarnation, true, said);
         }
         if (!state.name().equals(name)) {
             said.add("state is of another balancer, " + state.name() + "; nothing of it is taken");
-            return new Restored(Map.of(), null, List.of(), incarnation, said);
+            return new Restored(Map.of(), null, List.of(), incarnation, true, said);
         }
         // Rises though the clock was set back meanwhile.
         incarnation = Math.max(incarnation, state.incarnation() + 1);
         long age = now - state.written();
         if (age < -AHEAD) {
             said.add("state was written " + -age / 1_000_000 + " ms from now, by a clock that ran ahead; taken are its bans alone");
-            return new Restored(state.bans(), null, List.of(), incarnation, said);
+            return new Restored(state.bans(), null, List.of(), incarnation, false, said);
         }
         State.Listed listed = state.listed();
         if (listed != null && !listed.discovery().equals(discovery)) {
@@ -55,7 +56,7 @@
             said.add("what was learnt is " + (now - state.learntAt()) / 1_000_000_000L + " s old, past " + bound / 1_000_000_000L
                     + " s; not taken");
         }
-        return new Restored(state.bans(), listed, learnt, incarnation, said);
+        return new Restored(state.bans(), listed, learnt, incarnation, false, said);
     }
 
     /**
--- /dev/null
+++ b/balancer/src/main/java/gorsestack/serve/Neighbourhood.java
@@ -0,0 +1,153 @@
+package gorsestack.serve;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gorsestack.decision.Settings;
+import gorsestack.memory.Calls;
+import gorsestack.memory.Mail;
+import gorsestack.operate.Handover;
+import gorsestack.recovery.Neighbours;
+import gorsestack.recovery.State;
+import gorsestack.settings.Limits;
+import gorsestack.wire.Owner;
+import gorsestack.wire.Peers;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongConsumer;
+
+/** Datagrams, the module's and those of coming back, each where it belongs. Only where balancers may talk. */
+final class Neighbourhood implements Mail, Neighbours.Act, AutoCloseable {
+    private static final System.Logger LOG = System.getLogger("gorsestack.neighbours");
+
+    private final Owner owner;
+    private final Calls calls;
+    private final Limits limits;
+    private final Handover handover;
+    private final boolean bansMayBeLost;
+    private final LongConsumer number;
+    private final Peers peers;
+    private Neighbours neighbours;
+
+    /**
+     * @param handover where what is said by hand is kept; null where nothing can be said
+     * @param bansMayBeLost whether some of that may be missing here
+     * @param number told of another number of this process
+     */
+    Neighbourhood(List<InetSocketAddress> addresses, Owner owner, Calls calls, Limits limits, Handover handover, boolean bansMayBeLost,
+            LongConsumer number, Settings settings) throws IOException {
+        this.owner = owner;
+        this.calls = calls;
+        this.limits = limits;
+        this.handover = handover;
+        this.bansMayBeLost = bansMayBeLost;
+        this.number = number;
+        peers = new Peers(addresses, settings.me(), owner, calls::heard);
+    }
+
+    /** On the owner's thread, before anything is heard. */
+    void begin(Settings settings, long incarnation, boolean nothingLearnt, long seed) {
+        // In the order of the module's groups.
+        List<String> zones = new ArrayList<>();
+        int own = Math.max(0, settings.zones().indexOf(settings.zone()));
+        for (int i = 0; i < settings.zones().size(); i++) {
+            zones.add(settings.zones().get((own + i) % settings.zones().size()));
+        }
+        neighbours = new Neighbours(settings.me(), settings.instances(), incarnation, owner.now(), settings.rules().askWithin(),
+                zones, nothingLearnt, seed, new Neighbours.Known() {
+                    @Override
+                    public long index() {
+                        return calls.listIndex();
+                    }
+
+                    @Override
+                    public double[][] learnt() {
+                        return calls.learnt();
+                    }
+                }, this);
+    }
+
+    @Override
+    public void tell(int peer, byte[] message) {
+        peers.tell(peer, neighbours.outgoing(owner.now(), peer, message));
+    }
+
+    @Override
+    public byte[] heard(int peer, byte[] message) {
+        return neighbours == null ? null : neighbours.heard(owner.now(), peer, message);
+    }
+
+    @Override
+    public void send(int peer, byte[] message) {
+        peers.tell(peer, message);
+    }
+
+    @Override
+    public void wake(long at) {
+        owner.at(at, () -> neighbours.look(owner.now()));
+    }
+
+    /** What was said by hand, all of it. */
+    void keep(Map<String, State.Ban> bans) {
+        neighbours.keep(owner.now(), bans);
+    }
+
+    @Override
+    public void incarnation(long to) {
+        LOG.log(System.Logger.Level.INFO, "a peer remembers a later process of this balancer; incarnation {0} from now on", Long.toString(to));
+        number.accept(to);
+    }
+
+    @Override
+    public void kept(Map<String, State.Ban> bans) {
+        // Where nothing was lost what is known here is all there is; a peer may have missed that one was called back.
+        if (handover != null && bansMayBeLost) {
+            handover.kept(bans);
+        }
+    }
+
+    @Override
+    public void listIsOld(long index) {
+        LOG.log(System.Logger.Level.INFO, "a peer has list {0}, later than the {1} held here", Long.toString(index),
+                Long.toString(calls.listIndex()));
+        owner.at(owner.now() + (long) (calls.chance() * limits.watchSpread()), calls::watch);
+    }
+
+    @Override
+    public void learnt(List<double[]> rows) {
+        LOG.log(System.Logger.Level.INFO, "begins with what peers of its zone have learnt");
+        calls.learnt(rows.toArray(double[][]::new));
+    }
+
+    @Override
+    public void alone() {
+        LOG.log(System.Logger.Level.WARNING, "most of the peers asked say nothing; rooms begin at their least");
+        double[][] rows = calls.learnt();
+        for (double[] row : rows) {
+            row[0] = 0;
+        }
+        calls.learnt(rows);
+    }
+
+    @Override
+    public void status(ObjectNode status) {
+        long now = owner.now();
+        ObjectNode node = status.putObject("neighbours");
+        put(node, "returned", neighbours.returned(now));
+        put(node, "silent", neighbours.silent(now));
+        long[] dropped = neighbours.dropped();
+        node.put("droppedStale", dropped[0]).put("droppedBad", dropped[1]).put("unanswered", dropped[2]);
+    }
+
+    private static void put(ObjectNode node, String key, double share) {
+        if (!Double.isNaN(share)) {
+            node.put(key, Math.round(share * 1000) / 1e3);
+        }
+    }
+
+    @Override
+    public void close() {
+        peers.close();
+    }
+}
--- a/balancer/src/main/java/gorsestack/serve/Service.java
+++ b/balancer/src/main/java/gorsestack/serve/Service.java
@@ -13,10 +13,10 @@
 import gorsestack.wire.MinaNetwork;
 import gorsestack.wire.Network;
 import gorsestack.wire.Owner;
-import gorsestack.wire.Peers;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import sun.misc.Signal;
@@ -33,6 +33,9 @@
     private Calls calls;
     private Handover handover;
     private boolean besideAnother;
+    /** What was said by hand, all of it, and who else keeps it; on the owner's thread. */
+    private Map<String, State.Ban> saidByHand = Map.of();
+    private Neighbourhood neighbourhood;
 
     private Service(Path file) throws IOException {
         this.file = file;
@@ -65,8 +68,8 @@
         } else {
             owner.execute(() -> calls.news(configuration.known()));
         }
-        if (configuration.mgmt() != null || restored != null) {
-            Management management = new Management(limits, owner, calls);
+        Management management = configuration.mgmt() == null && restored == null ? null : new Management(limits, owner, calls);
+        if (management != null) {
             Path temporary = Path.of(System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir")));
             handover = new Handover(restored == null ? temporary : configuration.state(), name(), restored != null, owner,
                     new Handover.Listener() {
@@ -75,6 +78,14 @@
                             management.told(upstream, back);
                         }
 
+                        @Override
+                        public void saidByHand(Map<String, State.Ban> all) {
+                            saidByHand = all;
+                            if (neighbourhood != null) {
+                                neighbourhood.keep(all);
+                            }
+                        }
+
                         @Override
                         public State.Listed listed() {
                             return calls.listed();
@@ -113,8 +124,23 @@
             }
         }
         if (!configuration.peers().isEmpty()) {
-            Peers peers = new Peers(configuration.peers(), configuration.settings().me(), owner, calls::heard);
-            owner.execute(() -> calls.peers(peers));
+            long number = restored != null ? restored.incarnation() : Math.max(owner.now() / 1_000_000, 1);
+            Neighbourhood all = new Neighbourhood(configuration.peers(), owner, calls, limits, handover,
+                    restored == null || restored.lost(), to -> {
+                        if (management != null) {
+                            handover.number(to);
+                            management.incarnation(to);
+                        }
+                    }, configuration.settings());
+            owner.execute(() -> {
+                all.begin(configuration.settings(), number, !besideAnother && (restored == null || restored.learnt().isEmpty()),
+                        configuration.seed());
+                calls.mail(all);
+                neighbourhood = all;
+                if (!saidByHand.isEmpty()) {
+                    all.keep(saidByHand);
+                }
+            });
         }
         // Danger: the JVM's own answer to SIGHUP is to end, and to SIGTERM to close its log first.
         Signal.handle(new Signal("HUP"), signal -> reload());
--- a/balancer/src/main/java/gorsestack/wire/Discovery.java
+++ b/balancer/src/main/java/gorsestack/wire/Discovery.java
@@ -45,6 +45,11 @@
         return address;
     }
 
+    /** The version of the list that is held. */
+    public long index() {
+        return index;
+    }
+
     /** When a line of the watch last said that the list held is the one there is; 0 if none has yet. */
     public long confirmedAt() {
         return confirmedAt;
--- a/balancer/src/main/java/gorsestack/wire/Peers.java
+++ b/balancer/src/main/java/gorsestack/wire/Peers.java
@@ -8,13 +8,17 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Consumer;
 
 /**
  * Messages to and from the other balancers, a datagram each, which may be lost. Danger: anybody can send a datagram;
  * only those from a peer's own address and of a message's length are taken, a few at a time.
  */
 public final class Peers implements AutoCloseable {
+    /** Who is told of a message, on the owner's thread, and which peer's it is. */
+    public interface Told {
+        void message(int peer, byte[] message);
+    }
+
     private static final System.Logger LOG = System.getLogger("gorsestack.peers");
     private static final int LONGEST = 256;
     /** Told of and not yet looked at; what comes on top of that is old by the time that it would be. */
@@ -25,16 +29,19 @@
     private final DatagramSocket socket;
 
     /** Listens on this balancer's own address among them; messages are told on the owner's thread. */
-    public Peers(List<InetSocketAddress> addresses, int me, Owner owner, Consumer<byte[]> told) throws IOException {
+    public Peers(List<InetSocketAddress> addresses, int me, Owner owner, Told told) throws IOException {
         this.addresses = addresses;
         this.me = me;
-        socket = new DatagramSocket(addresses.get(me));
+        socket = new DatagramSocket(null);
+        // Danger: in an upgrade the process before has it open still; either may hear what comes meanwhile.
+        socket.setReuseAddress(true);
+        socket.bind(addresses.get(me));
         Thread thread = new Thread(() -> listen(owner, told), "peers");
         thread.setDaemon(true);
         thread.start();
     }
 
-    private void listen(Owner owner, Consumer<byte[]> told) {
+    private void listen(Owner owner, Told told) {
         AtomicInteger waiting = new AtomicInteger();
         DatagramPacket packet = new DatagramPacket(new byte[LONGEST + 1], LONGEST + 1);
         while (!socket.isClosed()) {
@@ -42,13 +49,13 @@
                 packet.setLength(LONGEST + 1);
                 socket.receive(packet);
                 SocketAddress from = packet.getSocketAddress();
-                if (packet.getLength() <= LONGEST && addresses.contains(from) && !from.equals(addresses.get(me))
-                        && waiting.get() < MOST_WAITING) {
+                int peer = addresses.indexOf(from);
+                if (packet.getLength() <= LONGEST && peer >= 0 && peer != me && waiting.get() < MOST_WAITING) {
                     byte[] message = Arrays.copyOf(packet.getData(), packet.getLength());
                     waiting.incrementAndGet();
                     owner.execute(() -> {
                         waiting.decrementAndGet();
-                        told.accept(message);
+                        told.message(peer, message);
                     });
                 }
             } catch (IOException e) {
--- a/balancer/src/test/java/gorsestack/serve/MixedShapesTest.java
+++ b/balancer/src/test/java/gorsestack/serve/MixedShapesTest.java
@@ -8,6 +8,7 @@
 import com.sun.net.httpserver.HttpServer;
 import gorsestack.decision.Upstreams;
 import gorsestack.memory.Calls;
+import gorsestack.memory.Mail;
 import gorsestack.memory.OwnerThread;
 import gorsestack.settings.SettingsReader;
 import gorsestack.wire.Catalog;
@@ -96,11 +97,21 @@
             calls = new Calls(owner, limits, SettingsReader.read(settings), me + 1, network,
                     new InetSocketAddress(LOOPBACK, 1), 0);
             if (isNew) {
-                peers = new Peers(addresses, me, owner, message -> {
+                peers = new Peers(addresses, me, owner, (peer, message) -> {
                     told.incrementAndGet();
-                    calls.heard(message);
+                    calls.heard(peer, message);
                 });
-                owner.execute(() -> calls.peers(peers));
+                owner.execute(() -> calls.mail(new Mail() {
+                    @Override
+                    public void tell(int peer, byte[] message) {
+                        peers.tell(peer, message);
+                    }
+
+                    @Override
+                    public byte[] heard(int peer, byte[] message) {
+                        return message;
+                    }
+                }));
             }
             network.listen(address, () -> new ClientConnection(limits, owner, calls));
             owner.execute(calls::open);
