Coming back: list asked for spread over the fleet's size, rooms scaled to a fleet that shrank, first write drawn

A kept list is asked for news over N/4 s (N balancers), by when it counts as told at the latest; before, within askWithin/5 whatever N. Restored rooms are cut by as much as discovery's first list has fewer upstreams in their group. The first write of state is drawn over a second.

--- a/balancer/src/main/java/gorsestack/decision/Choice.java
+++ b/balancer/src/main/java/gorsestack/decision/Choice.java
@@ -149,8 +149,7 @@
             }
             // This balancer's part: those of a zone share its upstreams, all share the others. Three calls an
             // upstream hardly wait, as part of their time is spent a tier below; four at the start jam none.
-            g.least = 3 * n * share * (i == 0 ? part : 1.0 / settings.instances());
-            g.room = g.room == 0 ? 1.4 * g.least : Math.max(g.room, g.least);
+            g.least(3 * n * share * (i == 0 ? part : 1.0 / settings.instances()));
         }
     }
 
--- a/balancer/src/main/java/gorsestack/decision/Group.java
+++ b/balancer/src/main/java/gorsestack/decision/Group.java
@@ -4,6 +4,8 @@
 
 /** An ordered group of upstreams, a zone's: what is kept in sums so that no call walks the fleet. */
 final class Group {
+    /** For a test alone: takes whatever comes, so that what rooms are for can be seen. */
+    private static final boolean UNBRAKED = Boolean.getBoolean("gorsestack.test.unbraked");
     private final long cold;
     int[] members = {};
     int cursor;
@@ -34,14 +36,20 @@
         this.cold = Math.max(1, cold);
     }
 
+    /** The room that it has at the least; a new one begins a little above, and what it can do has to be earned. */
+    void least(double to) {
+        least = UNBRAKED ? 1e6 : to;
+        room = room == 0 ? 1.4 * least : Math.max(room, least);
+    }
+
     /** What another process of this balancer may begin with. */
     double[] learnt(long now) {
-        return new double[] {room, lateness, bare, answeredNow(now)};
+        return new double[] {room, lateness, bare, answeredNow(now), members.length};
     }
 
     /** Danger: figures of another version, or out of all proportion. */
     void begin(double[] told, long now, double share) {
-        if (told.length == 4 && Arrays.stream(told).allMatch(d -> d >= 0 && d < 1e6)) {
+        if ((told.length == 4 || told.length == 5) && Arrays.stream(told).allMatch(d -> d >= 0 && d < 1e6)) {
             room = Math.max(least, told[0] * share);
             lateness = told[1];
             bare = told[2];
--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -9,6 +9,7 @@
 import gorsestack.decision.Upstreams;
 import gorsestack.operate.Handover;
 import gorsestack.operate.Management;
+import gorsestack.recovery.Restore;
 import gorsestack.recovery.Returning;
 import gorsestack.recovery.State;
 import gorsestack.settings.Limits;
@@ -109,6 +110,10 @@
     private final LoadReport reports;
     private Mail mail;
     private Listing listing;
+    /** What an earlier process had learnt, until discovery has told which upstreams there are. */
+    private List<double[]> kept;
+    /** A list that was kept is asked for no sooner. */
+    private long asksAt;
     private Returning returning;
     private final Map<String, Settings.Product> products = new HashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
@@ -268,6 +273,14 @@
             }
         }
         choice.upstreams(tick(), catalog.news());
+        if (kept != null && catalog.news().form() != Upstreams.Form.CACHED) {
+            double[][] rows = Restore.shrunk(kept, choice.learnt());
+            kept = null;
+            if (rows != null) {
+                LOG.log(System.Logger.Level.INFO, "the fleet has shrunk since; rooms begin with as much less");
+                choice.learnt(now, rows);
+            }
+        }
     }
 
     @Override
@@ -381,6 +394,14 @@
 
     @Override
     public void watch() {
+        if (owner.now() >= asksAt) {
+            discovery.watch();
+        }
+    }
+
+    /** Asks for the list now, whatever was planned. */
+    public void askForList() {
+        asksAt = 0;
         discovery.watch();
     }
 
@@ -610,14 +631,14 @@
     }
 
     /**
-     * A list that an earlier process kept, and by when it has to be asked for. Danger: of a fleet that comes back after that, all
-     * would ask in one moment; what is late already is asked for with the spread of any start.
+     * A list that an earlier process kept, when it is asked for, and what was learnt with it. Until then the module's own asking,
+     * sooner as any start's, waits.
      */
-    public void restored(State.Listed listed, long askBy) {
+    public void restored(State.Listed listed, long askAt, List<double[]> learnt) {
         news(Listing.catalog(listed));
-        if (askBy > owner.now()) {
-            owner.at(askBy, discovery::watch);
-        }
+        kept = learnt;
+        asksAt = askAt;
+        owner.at(askAt, this::askForList);
     }
 
     /** What the module has learnt, for a process that takes over, and its taking over. */
--- a/balancer/src/main/java/gorsestack/operate/Handover.java
+++ b/balancer/src/main/java/gorsestack/operate/Handover.java
@@ -1,5 +1,6 @@
 package gorsestack.operate;
 
+import gorsestack.decision.Chance;
 import gorsestack.recovery.FolderDisk;
 import gorsestack.recovery.State;
 import gorsestack.recovery.Store;
@@ -129,12 +130,14 @@
     /** From now on the list and what was learnt are kept too, for a process that starts when this one has gone. */
     public void keep(long number) {
         thread.execute(() -> incarnation = Math.max(incarnation, number));
+        // Danger: a fleet that starts at once on one disk would write at once, each second.
+        long first = KEEP_MS / 2 + (long) (KEEP_MS * new Chance(number ^ name.hashCode()).next());
         thread.scheduleWithFixedDelay(() -> owner.execute(() -> {
             State.Listed held = listener.listed();
             double[][] rows = listener.learnt();
             long now = owner.now();
             thread.execute(() -> keep(held, rows, now));
-        }), KEEP_MS, KEEP_MS, TimeUnit.MILLISECONDS);
+        }), first, KEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     private void keep(State.Listed held, double[][] rows, long now) {
--- a/balancer/src/main/java/gorsestack/recovery/Restore.java
+++ b/balancer/src/main/java/gorsestack/recovery/Restore.java
@@ -9,6 +9,11 @@
     /** Clocks of one machine are set by so much without anybody's notice. */
     private static final long AHEAD = 1_000_000_000L;
 
+    /** Discovery is one small service for all, which works through calls in turn; so many of a fleet that comes back ask it in a second. */
+    private static final double ASKS_A_SECOND = 4;
+    /** Fewer upstreams by less are no other fleet. */
+    private static final double SHRUNK = 0.9;
+
     private Restore() { }
 
     /**
@@ -70,7 +75,7 @@
             double left = Math.exp(-4 * age / bound);
             for (double[] row : state.learnt()) {
                 double[] faded = row.clone();
-                if (faded.length == 4) {
+                if (faded.length >= 4) {
                     faded[0] *= left;
                     faded[3] *= left;
                 }
@@ -79,4 +84,33 @@
         }
         return rows;
     }
+
+    /**
+     * By when a process that holds a list asks for the news of it, as a draw from 0 up to 1 says. Danger: a fleet that comes back asks
+     * at once. All of it spread over a second for each four balancers, but by when what discovery has to tell counts as told.
+     *
+     * @param askBy when that is; with nothing held, or all of it due, askWithin / 5 is what any start is spread over
+     */
+    public static long askAt(long now, long askBy, long askWithin, int balancers, double draw) {
+        double spread = Math.max(askWithin / 5.0, Math.min(askBy - now, balancers / ASKS_A_SECOND * 1e9));
+        return now + (long) (draw * spread);
+    }
+
+    /**
+     * What to go on with where discovery's list has fewer upstreams in a group than what was learnt there was learnt with: rooms that are
+     * smaller by as much; null where none has.
+     *
+     * @param kept by group room, lateness, bare lateness, answers, upstreams
+     * @param held the same as held now
+     */
+    public static double[][] shrunk(List<double[]> kept, double[][] held) {
+        boolean any = false;
+        for (int i = 0; i < Math.min(kept.size(), held.length); i++) {
+            if (kept.get(i).length == 5 && held[i].length == 5 && held[i][4] < SHRUNK * kept.get(i)[4]) {
+                held[i][0] *= held[i][4] / kept.get(i)[4];
+                any = true;
+            }
+        }
+        return any ? held : null;
+    }
 }
--- a/balancer/src/main/java/gorsestack/serve/Service.java
+++ b/balancer/src/main/java/gorsestack/serve/Service.java
@@ -63,8 +63,10 @@
         }
         if (listKept) {
             // Rule 3: what discovery had to tell meanwhile counts as told from then, not from this start.
-            long askBy = restored.listed().confirmed() + configuration.settings().rules().askWithin() - limits.watchSpread();
-            owner.execute(() -> calls.restored(restored.listed(), askBy));
+            long askWithin = configuration.settings().rules().askWithin();
+            long askBy = restored.listed().confirmed() + askWithin - limits.watchSpread();
+            owner.execute(() -> calls.restored(restored.listed(), Restore.askAt(owner.now(), askBy, askWithin,
+                    configuration.settings().instances(), calls.chance()), restored.learnt()));
         } else {
             owner.execute(() -> calls.news(configuration.known()));
         }
--- a/balancer/src/test/java/gorsestack/recovery/StoreTest.java
+++ b/balancer/src/test/java/gorsestack/recovery/StoreTest.java
@@ -269,4 +269,36 @@
         assertEquals(byClock + 6, restored(state(byClock + 5), NOW).incarnation(), "the clock was set back");
         assertTrue(restored(State.NONE, NOW + SECOND).incarnation() > restored(state(7), NOW).incarnation());
     }
+
+    /** Of a thousand that come back at once: all ask before what discovery has to tell counts as told, and no more in a second than said. */
+    @Test
+    void aFleetThatComesBackAsksSpreadOut() {
+        for (int count : new int[] {1, 8, 24, 1000}) {
+            for (long left : new long[] {-3, 0, 1, 5, 9}) {
+                long askBy = NOW + left * SECOND;
+                long[] asked = new long[count];
+                for (int i = 0; i < count; i++) {
+                    asked[i] = Restore.askAt(NOW, askBy, 10 * SECOND, count, (i + 0.5) / count);
+                    assertTrue(asked[i] >= NOW && asked[i] <= Math.max(askBy, NOW + 2 * SECOND));
+                }
+                Arrays.sort(asked);
+                double bound = Math.max(4, Math.min(count / 2.0, count / Math.max(1.0, left)));
+                for (int i = 0; i < count; i++) {
+                    long until = asked[i] + SECOND;
+                    assertTrue(Arrays.stream(asked).skip(i).takeWhile(t -> t < until).count() <= Math.ceil(bound) + 1, count + " " + left);
+                }
+            }
+        }
+    }
+
+    @Test
+    void roomsShrinkWithTheFleetAndWithNothingElse() {
+        List<double[]> kept = List.of(new double[] {12, 0.2, 0.1, 30, 6}, new double[] {8, 0.2, 0.1, 30, 4}, new double[] {1, 0, 0, 0});
+        double[][] held = {{10, 0.3, 0.1, 9, 3}, {8, 0.2, 0.1, 30, 5}, {1, 0, 0, 0, 1}};
+        double[][] now = Restore.shrunk(kept, held);
+        assertArrayEquals(new double[] {5, 0.3, 0.1, 9, 3}, now[0]);
+        assertArrayEquals(new double[] {8, 0.2, 0.1, 30, 5}, now[1]);
+        assertArrayEquals(new double[] {1, 0, 0, 0, 1}, now[2]);
+        assertNull(Restore.shrunk(kept, new double[][] {{10, 0.3, 0.1, 9, 6}, {8, 0.2, 0.1, 30, 4}}));
+    }
 }
--- a/lab/src/main/java/gorsestack/lab/Main.java
+++ b/lab/src/main/java/gorsestack/lab/Main.java
@@ -31,7 +31,7 @@
 public final class Main implements Callable<Integer> {
     private static final int BAD = 2;
     private static final List<String> BUILT_IN = List.of("calm", "restart-70", "restart-all", "restart-dark", "restart-over", "restart-state",
-            "cut-zone", "stall", "flap", "smoke", "restart", "cut");
+            "restart-rolling", "restart-cut", "restart-cold", "restart-jam", "restart-peers", "cut-zone", "stall", "flap", "smoke", "restart", "cut");
 
     public static void main(String[] args) {
         System.setProperty("java.awt.headless", "true");
@@ -102,18 +102,25 @@
         @Option(names = "--run", paramLabel = "COMMAND", description = "what starts a balancer; by default the deploy file's run line")
         private String run;
 
+        @Option(names = "--before", paramLabel = "DIR", description = "the root of another version, built; every other balancer is of that one")
+        private Path before;
+
         @Override
         public Integer call() throws Exception {
             String text = text(scenario);
             Scenario read = ScenarioReader.read(scenario, text);
             Path at = root != null ? root.toAbsolutePath() : root();
             String command = run != null ? run : command(at);
+            Path other = before == null ? null : before.toAbsolutePath();
+            if (other != null && !command(other).equals(command)) {
+                throw new IOException(other + ": its run line is not the one that is played");
+            }
             int worst = 0;
             Result last = null;
             for (long seed : seeds) {
                 Path folder = out.resolve(read.name() + "-" + seed).toAbsolutePath();
                 clear(folder);
-                Result result = new Run(new Run.Plan(read, text, seed, at, command, "gorsestack " + version(), folder, System.err)).play();
+                Result result = new Run(new Run.Plan(read, text, seed, at, command, other, "gorsestack " + version(), folder, System.err)).play();
                 table(result, folder);
                 worst = worst == 1 || result.exitCode() == 1 ? 1 : Math.max(worst, result.exitCode());
                 last = last == null || last.exitCode() == 0 || result.exitCode() == 1 && last.exitCode() != 1 ? result : last;
--- a/lab/src/main/java/gorsestack/lab/judge/Figures.java
+++ b/lab/src/main/java/gorsestack/lab/judge/Figures.java
@@ -10,9 +10,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.LongPredicate;
+import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
 
 /** What a run came to, from what clients and upstreams saw. */
@@ -102,6 +104,8 @@
             case "errored" -> part(some, "errored");
             case "lost" -> lost;
             case "time_to_full_s" -> timeToFull();
+            case "start_s" -> start();
+            case "full_after_start_s" -> Math.max(0, timeToFull() - Math.max(0, lastReady() - faultAt) / 1e9);
             case "shots_per_call" -> shots(over) / (double) Math.max(1, some.size());
             case "p99_ms" -> quantile(some, 99);
             case "peak_list_calls" -> peak(listTimes(), from(over), until(over));
@@ -109,6 +113,8 @@
             case "peak_connections" -> opened(s -> (s.second() + 1) * SECOND > from(over) && (s.second() + 1) * SECOND <= until(over));
             case "peak_connections_over_steady" -> opened(s -> (s.second() + 1) * SECOND > faultAt)
                     / Math.max(1, opened(s -> (s.second() + 1) * SECOND <= faultAt));
+            case "peak_further_connections" -> peak(further(), from(over), until(over));
+            case "peak_further_connections_over_steady" -> overSteady(further());
             case "peak_shots_over_steady" -> shotsOverSteady();
             case "datagrams_per_second" -> records.seconds.isEmpty() ? 0
                     : records.seconds.get(records.seconds.size() - 1).datagrams() / scenario.seconds();
@@ -159,6 +165,45 @@
         return peak(times, faultAt, end) / Math.max(1, peak(times, 0, faultAt));
     }
 
+    private record Pair(int balancer, int upstream) { }
+
+    /** When connections were opened that are not the first of their pair since either started; each restart has to open that one. */
+    private long[] further() {
+        Map<Integer, List<Long>> starts = new HashMap<>();
+        records.processes.stream().filter(p -> p.what().equals("start"))
+                .forEach(p -> starts.computeIfAbsent(p.balancer(), b -> new ArrayList<>()).add(p.at()));
+        Map<Integer, List<Long>> changes = new HashMap<>();
+        records.changes.forEach(c -> changes.computeIfAbsent(c.upstream(), u -> new ArrayList<>()).add(c.at()));
+        Map<Pair, Long> opened = new HashMap<>();
+        return records.connects.stream().sorted(Comparator.comparingLong(Records.Connect::at)).filter(c -> {
+            Long before = opened.put(new Pair(c.balancer(), c.upstream()), c.at());
+            return before != null && Stream.of(starts.get(c.balancer()), changes.get(c.upstream())).filter(Objects::nonNull)
+                    .flatMap(List::stream).noneMatch(t -> t > before && t <= c.at());
+        }).mapToLong(Records.Connect::at).toArray();
+    }
+
+    /** When the last of those that started from the fault on was ready; the fault's time if none did. */
+    private long lastReady() {
+        return records.processes.stream().filter(p -> p.what().equals("ready") && p.at() >= faultAt).mapToLong(Records.Process::at).max()
+                .orElse(faultAt);
+    }
+
+    /** The longest that a process took from the fault on until it was ready; NEVER for one that did not become so. */
+    private double start() {
+        Map<Integer, Long> began = new HashMap<>();
+        double most = 0;
+        for (Records.Process p : records.processes.stream().sorted(Comparator.comparingLong(Records.Process::at)).toList()) {
+            if (p.at() >= faultAt && p.what().equals("start")) {
+                began.put(p.balancer(), p.at());
+            } else if (p.what().equals("ready") && began.containsKey(p.balancer())) {
+                most = Math.max(most, (p.at() - began.remove(p.balancer())) / 1e9);
+            } else if (p.what().equals("kill") || p.what().startsWith("exit")) {
+                began.remove(p.balancer());
+            }
+        }
+        return began.isEmpty() ? most : NEVER;
+    }
+
     private double opened(java.util.function.Predicate<Second> when) {
         return records.seconds.stream().filter(when).mapToInt(Second::opened).max().orElse(0);
     }
--- a/lab/src/main/java/gorsestack/lab/judge/Records.java
+++ b/lab/src/main/java/gorsestack/lab/judge/Records.java
@@ -54,6 +54,9 @@
     /** A cold upstream that was pushed over. */
     public record Fell(int upstream, long at, double offered, double able) { }
 
+    /** A connection that a balancer opened to an upstream. */
+    public record Connect(int balancer, int upstream, long at) { }
+
     /** Connections open at upstreams by all, and datagrams, at the end of a second. */
     public record Second(int second, int connections, int opened, long datagrams) { }
 
@@ -69,6 +72,7 @@
     public final List<Process> processes = new ArrayList<>();
     public final List<Happened> faults = new ArrayList<>();
     public final List<Fell> fell = new ArrayList<>();
+    public final List<Connect> connects = new ArrayList<>();
     public final List<Second> seconds = new ArrayList<>();
     public final List<Lab> lab = new ArrayList<>();
 
@@ -77,7 +81,7 @@
     private Map<String, List<?>> all() {
         return Map.ofEntries(Map.entry("Try", tries), Map.entry("Shot", shots), Map.entry("Told", told), Map.entry("Change", changes),
                 Map.entry("ListCall", listCalls), Map.entry("Extra", extras), Map.entry("Process", processes),
-                Map.entry("Happened", faults), Map.entry("Fell", fell), Map.entry("Second", seconds), Map.entry("Lab", lab));
+                Map.entry("Happened", faults), Map.entry("Fell", fell), Map.entry("Connect", connects), Map.entry("Second", seconds), Map.entry("Lab", lab));
     }
 
     /** One JSON object a line, its kind in "is". */
--- a/lab/src/main/java/gorsestack/lab/process/Fleet.java
+++ b/lab/src/main/java/gorsestack/lab/process/Fleet.java
@@ -50,12 +50,12 @@
     private final Map<Integer, ObjectNode> lastKnown = new HashMap<>();
     private int starts;
 
-    public Fleet(World world, Known known, Path root, String run, Path out) throws IOException {
+    public Fleet(World world, Known known, Path root, String run, Path before, Path out) throws IOException {
         this.world = world;
         this.known = known;
         this.out = out;
         for (int b = 0; b < world.scenario.processes(); b++) {
-            balancers.add(new Balancer(b, root, run, out));
+            balancers.add(new Balancer(b, before != null && b % 2 == 1 ? before : root, run, out));
         }
     }
 
--- a/lab/src/main/java/gorsestack/lab/run/Run.java
+++ b/lab/src/main/java/gorsestack/lab/run/Run.java
@@ -32,8 +32,9 @@
 
 /** One run of a scenario, from the first process to the verdict. */
 public final class Run {
-    /** What is run, where, and who hears of it. */
-    public record Plan(Scenario scenario, String text, long seed, Path root, String run, String version, Path out, PrintStream progress) { }
+    /** What is run, where, and who hears of it; before is the root of another version, which every other balancer is of, or null. */
+    public record Plan(Scenario scenario, String text, long seed, Path root, String run, Path before, String version, Path out,
+            PrintStream progress) { }
 
     private static final long TICK = 10_000_000L;
 
@@ -135,7 +136,7 @@
             public int discoveryMove() {
                 return discovery.move();
             }
-        }, plan.root, plan.run, plan.out);
+        }, plan.root, plan.run, plan.before, plan.out);
         if (s.fleet().peers()) {
             on(() -> {
                 for (int a = 0; a < s.fleet().balancers(); a++) {
@@ -187,6 +188,7 @@
 
     private void begin() {
         world.records.listCalls.clear();
+        world.records.connects.clear();
         // Calls come before that, as the lab's own code and the program's is compiled meanwhile, as it would be by then.
         List<Records.Process> before = List.copyOf(world.records.processes);
         long then = world.now();
--- a/lab/src/main/java/gorsestack/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/gorsestack/lab/scenario/ScenarioReader.java
@@ -34,7 +34,8 @@
     public static final List<String> FIGURES = List.of("served", "served_worst_second", "rate_limited", "errored", "lost",
             "time_to_full_s", "shots_per_call", "peak_list_calls", "peak_list_calls_over_steady", "peak_connections",
             "peak_connections_over_steady", "peak_shots_over_steady", "p99_ms", "served_worst_zone", "served_worst_product", "served_worst_tenant",
-            "datagrams_per_second", "crashes", "killed_after_term");
+            "start_s", "full_after_start_s", "peak_further_connections", "peak_further_connections_over_steady", "datagrams_per_second",
+            "crashes", "killed_after_term");
 
     private ScenarioReader() { }
 
--- a/lab/src/main/java/gorsestack/lab/standin/Upstream.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Upstream.java
@@ -99,6 +99,7 @@
 
     private void accepted(SocketChannel channel, int balancer) {
         world.opened++;
+        world.records.connects.add(new Records.Connect(balancer, number, world.now()));
         Stamp stamp = new Stamp(world);
         channel.pipeline().addLast(stamp, new HttpServerCodec(), new HttpObjectAggregator(64 << 20), new Connection(balancer, stamp));
     }
--- a/lab/src/test/java/gorsestack/lab/LabTest.java
+++ b/lab/src/test/java/gorsestack/lab/LabTest.java
@@ -51,7 +51,7 @@
         PrintStream nowhere = new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8);
         Result result = null;
         for (int i = 0; i < TRIES && (result == null || result.verdict().equals("VOID")); i++) {
-            result = new Run(new Run.Plan(ScenarioReader.read("test", text), text, 1, ROOT, run, "test", folder.resolve("run"), nowhere))
+            result = new Run(new Run.Plan(ScenarioReader.read("test", text), text, 1, ROOT, run, null, "test", folder.resolve("run"), nowhere))
                     .play();
         }
         Assumptions.assumeFalse(result.verdict().equals("VOID"), result.line());
