Test with processes: one that lost its state hears of its bans from its neighbours

Three processes, one killed and its folder emptied; out by hand again within the asking, its number higher than before. Bans kept for others are shown by status.

--- a/balancer/src/main/java/gorsestack/serve/Neighbourhood.java
+++ b/balancer/src/main/java/gorsestack/serve/Neighbourhood.java
@@ -137,7 +137,8 @@
         put(node, "returned", neighbours.returned(now));
         put(node, "silent", neighbours.silent(now));
         long[] dropped = neighbours.dropped();
-        node.put("droppedStale", dropped[0]).put("droppedBad", dropped[1]).put("unanswered", dropped[2]);
+        node.put("droppedStale", dropped[0]).put("droppedBad", dropped[1]).put("unanswered", dropped[2])
+                .put("bansKeptForOthers", neighbours.wards().values().stream().mapToInt(Map::size).sum());
     }
 
     private static void put(ObjectNode node, String key, double share) {
--- a/balancer/src/test/java/gorsestack/serve/UpgradeTest.java
+++ b/balancer/src/test/java/gorsestack/serve/UpgradeTest.java
@@ -55,11 +55,15 @@
     }
 
     private Process run(int mgmt, String memory) throws Exception {
+        return run(folder.resolve("config.json"), folder, mgmt, memory);
+    }
+
+    private Process run(Path config, Path temporary, int mgmt, String memory) throws Exception {
         ProcessBuilder run = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), memory,
                 "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "gorsestack.Main", "serve");
-        run.environment().put("ROUTER_CONFIG", folder.resolve("config.json").toString());
+        run.environment().put("ROUTER_CONFIG", config.toString());
         run.environment().put("ROUTER_MGMT", "127.0.0.1:" + mgmt);
-        run.environment().put("TMPDIR", folder.toString());
+        run.environment().put("TMPDIR", temporary.toString());
         Process process = run.redirectErrorStream(true).redirectOutput(folder.resolve("log" + mgmt).toFile()).start();
         started.add(process);
         until("ready", () -> process.isAlive() && ask(mgmt, "GET", "/healthcheck") == 200);
@@ -263,6 +267,66 @@
         assertTrue(Files.readString(folder.resolve("log" + third)).contains("no state is kept"));
     }
 
+    /** Killed and with nothing left of its state, under a clock that was set back: its neighbours remember. */
+    @Test
+    void oneThatLostItsStateHearsOfItsBansFromItsNeighbours() throws Exception {
+        configure();
+        String one = Files.readString(folder.resolve("config.json"));
+        List<Integer> ports = List.of(port(), port(), port());
+        List<String> peers = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            try (java.net.DatagramSocket any = new java.net.DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+                peers.add("\"127.0.0.1:" + any.getLocalPort() + "\"");
+            }
+        }
+        List<Path> configs = new ArrayList<>();
+        List<Integer> mgmts = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            Path own = Files.createDirectory(folder.resolve("n" + i));
+            configs.add(own.resolve("config.json"));
+            mgmts.add(port());
+            Files.writeString(configs.get(i), one.replaceFirst("\"name\": \"n1\"", "\"name\": \"n" + i + "\", \"peers\": " + peers
+                    + ", \"state\": \"" + own.resolve("state") + "\"").replaceFirst("\"listen\": \"[^\"]*\"", "\"listen\": \"127.0.0.1:"
+                    + ports.get(i) + "\"").replace("\"replicasOfMe\": 2", "\"me\": " + i + ", \"replicasOfMe\": 3")
+                    .replace("\"retryAfter\": true", "\"retryAfter\": true, \"peers\": true"));
+        }
+        for (int i = 0; i < 3; i++) {
+            run(configs.get(i), configs.get(i).getParent(), mgmts.get(i), "-Xmx40m");
+        }
+        assertEquals(200, ask(mgmts.get(0), "PUT", "/upstreams/s0/maint"));
+        assertEquals(200, ask(mgmts.get(0), "PUT", "/upstreams/s1/maint"));
+        assertEquals(200, ask(mgmts.get(0), "PUT", "/upstreams/s1/ready"));
+        until("known to one another", () -> status(mgmts.get(0)).contains("\"returned\":1.0"));
+        long before = incarnation(status(mgmts.get(0)));
+        until("kept by the others", () -> status(mgmts.get(1)).contains("\"bansKeptForOthers\":2")
+                && status(mgmts.get(2)).contains("\"bansKeptForOthers\":2"));
+        started.get(0).destroyForcibly().waitFor();
+        try (var files = Files.list(configs.get(0).getParent().resolve("state"))) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        run(configs.get(0), configs.get(0).getParent(), mgmts.get(0), "-Xmx40m");
+        until("out again", () -> status(mgmts.get(0)).contains("\"outByHand\":[\"s0\"]"));
+        assertTrue(incarnation(status(mgmts.get(0))) > before);
+        assertEquals(0, to[0].get());
+        assertEquals(200, read(ports.get(0), "x"));
+        assertTrue(status(mgmts.get(0)).contains("\"droppedBad\":0"), status(mgmts.get(0)));
+    }
+
+    private static long incarnation(String status) {
+        return Long.parseLong(status.replaceFirst("(?s).*\"incarnation\":(\\d+).*", "$1"));
+    }
+
+    private static String status(int mgmt) {
+        try {
+            return HTTP.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + mgmt + "/status")).timeout(Duration.ofSeconds(2)).build(),
+                    HttpResponse.BodyHandlers.ofString()).body();
+        } catch (IOException | InterruptedException e) {
+            return "";
+        }
+    }
+
     /** Danger: bodies of 32 MB, several at once, each larger than the heap; one client reads slowly. */
     @Test
     void largeBodiesGoThroughASmallHeap() throws Exception {
