A call for the list that is never answered is asked again at once, not 2 to 6 s later

Checked with a line in the log for each line of discovery's: balancer n9 asked at 1.628 s, had no answer, gave up at 6.625 s (silent) and asked again at 12.569 s; it sent to a draining upstream at 12.460 s. Ruled out: late connections (the shot was chosen then, on a kept connection), the choice, the machine's load. At fault: Discovery.Watch.lost, the branch on told: what had told nothing was left to failed(), whose wait is for calls turned away; 5 s of silence and up to 6 s of that are more than the 6 s after which all counts as told.

--- a/balancer/src/main/java/gorsestack/wire/Discovery.java
+++ b/balancer/src/main/java/gorsestack/wire/Discovery.java
@@ -119,7 +119,7 @@
                 if (owner.now() < due) {
                     owner.at(due, this::check);
                 } else {
-                    lost("silent");
+                    lost("silent", true);
                 }
             }
         }
@@ -215,8 +215,15 @@
             }
         }
 
-        /** A watch that told something is taken up again at once, spread; else the listener decides when. */
         private void lost(String why) {
+            lost(why, false);
+        }
+
+        /**
+         * A watch that told something is taken up again at once, spread; else the listener decides when. Danger: one that fell silent
+         * before it told anything was not turned away; what it misses counts as told 6 s after, of which most are over.
+         */
+        private void lost(String why, boolean silent) {
             if (over()) {
                 return;
             }
@@ -235,7 +242,7 @@
                 owner.at(soon, coming::start);
             } else if (coming != null) {
                 return; // the old address takes no new connection; the new one is being asked
-            } else if (told) {
+            } else if (told || silent) {
                 owner.at(soon, Discovery.this::watch);
             } else {
                 listener.failed();
--- a/balancer/src/test/java/gorsestack/memory/CallsTest.java
+++ b/balancer/src/test/java/gorsestack/memory/CallsTest.java
@@ -516,6 +516,20 @@
         assertTrue(rig.watch() != failed, "asked again when the module says so");
     }
 
+    /** Rule 3: a call for the list that has no answer at all is no refusal; what it misses counts as told 6 s after it fell silent. */
+    @Test
+    void asksAgainSoonWhereACallForTheListIsNeverAnswered() throws IOException {
+        Rig rig = rig(1);
+        rig.pass(2_100);
+        Socket first = rig.watch();
+        assertTrue(first.out.startsWith("GET /catalog/members?watch=1&after=41 "));
+        rig.pass(2_800);
+        assertTrue(rig.watch() == first && first.open, "not yet");
+        rig.pass(2_700);
+        assertFalse(first.open);
+        assertTrue(rig.watch() != first && rig.watch().out.startsWith("GET /catalog/members?watch=1&after=41 "));
+    }
+
     @Test
     void followsDrainsAndAddressesAndLivesThroughBadLines() throws IOException {
         Rig rig = watching(2);
