Who is turned away as a fleet comes back is told to return spread; a jam that needs no trigger, shown without rooms

Only where state or peers are configured. Lab: tries are marked X-Repeat; upstreams may work off what was given up (works_off); restart-jam: a mass kill and three times the calls for 5 s, 24 balancers, 430 calls a second.

--- a/balancer/src/main/java/gorsestack/decision/Choice.java
+++ b/balancer/src/main/java/gorsestack/decision/Choice.java
@@ -33,7 +33,7 @@
     private final double part, meanSlo, byValue;
     /** This process's part of rooms and cold budgets: all, or half beside another one of this balancer. */
     private double share = 1;
-    private double work, callsLately, copies, bestValue = 1e-9;
+    private double spread, work, callsLately, copies, bestValue = 1e-9;
     /** One draw a shot: drawn again for each group, hardly any would be turned away, and most would cross. */
     private double luck;
     private long now, calledAt, tokens;
@@ -46,7 +46,7 @@
 
     // Rule 1: one final answer before the client timeout, and nothing after it. The order matters.
     private final Rule[] rules = {
-        new Rule(c -> now >= c.end, this::error),
+        new Rule(c -> now >= c.end, this::giveUp),
         new Rule(c -> now >= c.lookAt, this::look),
         new Rule(c -> c.out == 0 && !moreMayCome(c), this::giveUp),
         new Rule(c -> (now >= c.next || c.out == 0) && moreMayCome(c), this::shoot),
@@ -119,6 +119,11 @@
         regroup();
     }
 
+    /** Danger: whom a fleet turns away as it comes back returns at once. At 1 over five times as long. */
+    public void spread(double to) {
+        spread = to;
+    }
+
     /** What a process that takes over begins with. Without it, it turns calls away for some seconds. */
     public double[][] learnt() {
         return Arrays.stream(groups).map(g -> g.learnt(now)).toArray(double[][]::new);
@@ -145,7 +150,7 @@
             for (int u : g.members) {
                 g.meanWeight += up.entry[u].weight() / n;
                 g.ill += up.sick[u] ? 1 : 0;
-                g.warm += isCold(u) ? 0 : 1;
+                g.warm += up.isCold(u, now, settings.rules().cold()) ? 0 : 1;
             }
             // This balancer's part: those of a zone share its upstreams, all share the others. Three calls an
             // upstream hardly wait, as part of their time is spent a tier below; four at the start jam none.
@@ -498,17 +503,14 @@
         out.shot(c.id, up.entry[u].id(), c.end - now);
     }
 
-    private void error(Call c) {
-        finish(c, -1, () -> out.errored(c.id));
-    }
-
     private void giveUp(Call c) {
         // Rule 2: a rate-limit reply says that trying again is harmless, so it must be.
         boolean harmless = c.anchor() < 0 || c.product.repeat() == Repeat.IDEMPOTENT
                 || c.product.repeat() == Repeat.DEDUPLICATED && c.product.scope() == Scope.ALL;
         // Back after a quarter of the SLO: late enough for room to come free, early enough to be in time.
-        long back = limit.retryAfter() ? Math.min(limit.maxRetryAfter(), c.product.slo() / 4) : 0;
-        finish(c, -1, harmless ? () -> out.rateLimited(c.id, back) : () -> out.errored(c.id));
+        double wait = spread > 0 ? 0.25 + spread * chance.next() : 0.25;
+        long back = limit.retryAfter() ? Math.min(limit.maxRetryAfter(), (long) (c.product.slo() * wait)) : 0;
+        finish(c, -1, harmless && now < c.end ? () -> out.rateLimited(c.id, back) : () -> out.errored(c.id));
     }
 
     private void finish(Call c, int kept, Runnable answer) {
@@ -663,10 +665,6 @@
         return 0;
     }
 
-    private boolean isCold(int u) {
-        return up.startedAt(u) > 0 && now - up.startedAt(u) < settings.rules().cold();
-    }
-
     /**
      * Rule 4: whether this balancer may send to an upstream. Its turns at a cold one come as often as a warm
      * one of its group (or of all, if that is more: a group may be all cold) answers it, times the share that
@@ -674,7 +672,7 @@
      * call a second by all balancers together. A turn fills by time: one of many may have less than one.
      */
     private boolean hasTurn(int u) {
-        if (!isCold(u)) {
+        if (!up.isCold(u, now, settings.rules().cold())) {
             return true;
         }
         double all = 0, warm = 0;
--- a/balancer/src/main/java/gorsestack/decision/Figures.java
+++ b/balancer/src/main/java/gorsestack/decision/Figures.java
@@ -95,6 +95,11 @@
         return back == OUT ? entry[u].startedAt() : Math.max(entry[u].startedAt(), back);
     }
 
+    /** Cold is what has started so lately. */
+    boolean isCold(int u, long now, long cold) {
+        return startedAt(u) > 0 && now - startedAt(u) < cold;
+    }
+
     double size(int u) {
         return Math.max(0.1, entry[u].weight());
     }
--- a/balancer/src/main/java/gorsestack/decision/Group.java
+++ b/balancer/src/main/java/gorsestack/decision/Group.java
@@ -36,7 +36,7 @@
         this.cold = Math.max(1, cold);
     }
 
-    /** The room that it has at the least; a new one begins a little above, and what it can do has to be earned. */
+    /** The room that it has at the least; a new one begins a little above, and more has to be earned. */
     void least(double to) {
         least = UNBRAKED ? 1e6 : to;
         room = room == 0 ? 1.4 * least : Math.max(room, least);
--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -9,6 +9,7 @@
 import gorsestack.decision.Upstreams;
 import gorsestack.operate.Handover;
 import gorsestack.operate.Management;
+import gorsestack.recovery.Brake;
 import gorsestack.recovery.Restore;
 import gorsestack.recovery.Returning;
 import gorsestack.recovery.State;
@@ -115,6 +116,9 @@
     /** A list that was kept is asked for no sooner. */
     private long asksAt;
     private Returning returning;
+    private Brake brake;
+    /** By how much it holds back. */
+    private double level;
     private final Map<String, Settings.Product> products = new HashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<ClientConnection, Call> byClient = new HashMap<>();
@@ -183,6 +187,9 @@
         byClient.put(from, c);
         // A call's time counts from its last byte.
         long left = request.upload() != null ? Long.MAX_VALUE : timeLeft(c, arrivedAt);
+        if (brake != null) {
+            brake.asked(now, request.again());
+        }
         trace("{0} taken: {1}, {2} ms left", c.id, request.product(), left / 1_000_000);
         choice.apiCall(tick(), c.id, request.product(), null, left);
     }
@@ -285,6 +292,9 @@
 
     @Override
     public void failed() {
+        if (brake != null) {
+            brake.listRefused();
+        }
         choice.upstreams(tick(), new Upstreams(Upstreams.Form.FAILED, List.of()));
     }
 
@@ -579,6 +589,29 @@
         listing = new Listing();
     }
 
+    /** What may hold a process back that has come back with many others; until it is over. */
+    public void brake(Brake by, long until) {
+        brake = by;
+        ease(until);
+    }
+
+    private void ease(long until) {
+        double before = level;
+        if (mail != null) {
+            brake.returned(mail.returned());
+        }
+        level = brake.level(owner.now());
+        choice.spread(level);
+        if (before == 0 && level > 0) {
+            LOG.log(System.Logger.Level.INFO, "many have come back at once; who is turned away returns spread");
+        }
+        if (owner.now() < until) {
+            owner.at(owner.now() + limits.sweep(), () -> ease(until));
+        } else {
+            brake = null;
+        }
+    }
+
     /** How far this balancer has come back is told from now on. */
     public void returns(Returning steps) {
         returning = steps;
@@ -607,6 +640,9 @@
         if (returning != null) {
             status.put("step", step()).put("stepForMs", (time - returning.since()) / 1_000_000);
         }
+        if (level > 0) {
+            status.put("heldBack", Math.round(level * 100) / 100.0);
+        }
         ObjectNode list = status.putObject("list").put("discovery", Catalog.text(discovery.address()));
         if (discovery.confirmedAt() > 0) {
             list.put("confirmedMsAgo", (time - discovery.confirmedAt()) / 1_000_000);
--- a/balancer/src/main/java/gorsestack/memory/Mail.java
+++ b/balancer/src/main/java/gorsestack/memory/Mail.java
@@ -10,6 +10,11 @@
     /** What a peer's message has to tell the module, or null. */
     byte[] heard(int peer, byte[] message);
 
+    /** Of the others heard, the share that had just come back; no number where that is not known. */
+    default double returned() {
+        return Double.NaN;
+    }
+
     /** What there is to be seen of it. */
     default void status(ObjectNode status) { }
 }
--- a/balancer/src/main/java/gorsestack/serve/Neighbourhood.java
+++ b/balancer/src/main/java/gorsestack/serve/Neighbourhood.java
@@ -130,6 +130,11 @@
         calls.learnt(rows);
     }
 
+    @Override
+    public double returned() {
+        return neighbours.returned(owner.now());
+    }
+
     @Override
     public void status(ObjectNode status) {
         long now = owner.now();
--- a/balancer/src/main/java/gorsestack/serve/Service.java
+++ b/balancer/src/main/java/gorsestack/serve/Service.java
@@ -4,6 +4,7 @@
 import gorsestack.memory.OwnerThread;
 import gorsestack.operate.Handover;
 import gorsestack.operate.Management;
+import gorsestack.recovery.Brake;
 import gorsestack.recovery.Restore;
 import gorsestack.recovery.Returning;
 import gorsestack.recovery.State;
@@ -61,6 +62,12 @@
             owner.execute(() -> calls.returns(new Returning(now, askWithin, configuration.settings().rules().cold(),
                     (step, why) -> LOG.log(System.Logger.Level.INFO, "{0} after {1} ms: {2}", step, (owner.now() - now) / 1_000_000, why))));
         }
+        Brake brake = restored == null && configuration.peers().isEmpty() ? null
+                : new Brake(owner.now(), configuration.settings().rules().askWithin());
+        if (brake != null) {
+            long until = owner.now() + configuration.settings().rules().askWithin();
+            owner.execute(() -> calls.brake(brake, until));
+        }
         if (listKept) {
             // Rule 3: what discovery had to tell meanwhile counts as told from then, not from this start.
             long askWithin = configuration.settings().rules().askWithin();
--- a/balancer/src/main/java/gorsestack/wire/Request.java
+++ b/balancer/src/main/java/gorsestack/wire/Request.java
@@ -33,6 +33,11 @@
         return new Request(head, body, upload, id, target.substring(1, end), TimeLeft.read(head.field("x-time-left")));
     }
 
+    /** Whether its client marks it as one that was asked before. */
+    public boolean again() {
+        return "1".equals(head.field("x-repeat"));
+    }
+
     /** Danger: an upstream reads from method and key whether a call may be repeated; null where they fit the class. */
     BadMessage misfit(Settings.Repeat repeat) {
         boolean get = repeat == Settings.Repeat.IDEMPOTENT;
--- a/lab/src/main/java/gorsestack/lab/scenario/Scenario.java
+++ b/lab/src/main/java/gorsestack/lab/scenario/Scenario.java
@@ -11,9 +11,10 @@
     public record Fleet(int balancers, double cores, int memoryMb, int sockets, boolean peers, boolean mgmt, boolean state, boolean forgets,
             double readyWithin, double healthEvery, double deadAfter) { }
 
-    /** Upstream stand-ins of one tier; calls is how often a request there calls the next tier, one after another. */
+    /** Upstream stand-ins of one tier; calls is how often a request there calls the next tier, one after another;
+     * worksOff is whether what was given up is done all the same. */
     public record Tier(String name, int upstreams, int cells, int slots, int queue, int connections, double speed, double slowKind,
-            int calls) { }
+            int calls, boolean worksOff) { }
 
     public record Discovery(double callsPerSecond, double patience, double late, double notices) { }
 
--- a/lab/src/main/java/gorsestack/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/gorsestack/lab/scenario/ScenarioReader.java
@@ -99,7 +99,8 @@
     private static Tier tier(Section s, int place) throws BadScenario {
         Tier tier = new Tier(s.text("name", "tier" + place), s.whole("upstreams", 12, 1, 200), s.whole("cells", 4, 1, 200),
                 s.whole("slots", 8, 1, 10_000), s.whole("queue", 40, 0, 100_000), s.whole("connections", 400, 1, 100_000),
-                s.number("speed", 1, 0.01, 100), s.number("slow_kind", 1, 0.01, 100), s.whole("calls", 1, 0, 10));
+                s.number("speed", 1, 0.01, 100), s.number("slow_kind", 1, 0.01, 100), s.whole("calls", 1, 0, 10),
+                s.flag("works_off", false));
         s.nothingElse();
         return tier;
     }
--- a/lab/src/main/java/gorsestack/lab/standin/Upstream.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Upstream.java
@@ -274,8 +274,8 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (open != null) {
-                boolean ran = job == null || job.running();
-                if (world.scenario.rules().mayCancel() || !ran) {
+                boolean ran = job == null || job.running() || kind.worksOff();
+                if ((world.scenario.rules().mayCancel() || !ran) && !kind.worksOff()) {
                     machine.done(job);
                 }
                 record(open, up ? "cancelled" : "died", ran, Records.NEVER);
@@ -313,6 +313,9 @@
         if (!tenant.isEmpty()) {
             headers.put("X-Tenant", tenant);
         }
+        if (id.matches("c\\d+t[1-9]\\d*")) {
+            headers.put("X-Repeat", "1"); // a client's try after its first
+        }
         headers.put("X-Time-Left", Math.round(leftMs * 1000) + "u");
         if (product.semantics().equals("guarded")) {
             headers.put("Idempotency-Key", key.isEmpty() ? id : key);
