--- a/balancer/src/test/java/gorsestack/decision/ChoiceTest.java
+++ b/balancer/src/test/java/gorsestack/decision/ChoiceTest.java
@@ -439,6 +439,22 @@
         play.settle();
     }
 
+    /** Danger: all that are turned away at once come back at once. Never later than the settings allow. */
+    @Test
+    void spreadsTheAdviceWhileAFleetComesBack() {
+        for (double spread : new double[] {0, 0.5, 1}) {
+            Play play = six(Play.settings(1, 0, 2, false, Scope.ALL), 1);
+            play.choice.spread(spread);
+            for (int i = 0; i < 400; i++) {
+                play.call("c" + i, "read", 1000 * MS);
+                play.runTo(play.now + MS);
+            }
+            var advice = play.calls.values().stream().filter(c -> "rate-limited".equals(c.answer)).mapToLong(c -> c.advice).summaryStatistics();
+            assertTrue(advice.getCount() > 100 && advice.getMin() >= 100 * MS && advice.getMax() <= 100 * MS + spread * 400 * MS, advice.toString());
+            assertTrue(advice.getMax() - advice.getMin() >= 0.9 * spread * 400 * MS, advice.toString());
+        }
+    }
+
     /** Dangers: an upload taken for silence; a copy of a body that is not kept; its time counted from its first byte. */
     @Test
     void givesALargeBodyOneShotAndItsTimeFromItsLastByte() {
