--- a/lab/src/test/java/gorsestack/lab/LabTest.java
+++ b/lab/src/test/java/gorsestack/lab/LabTest.java
@@ -175,7 +175,7 @@
 
     /** The subset of scenarios that is played at each landing. */
     @ParameterizedTest
-    @ValueSource(strings = {"smoke", "restart", "cut"})
+    @ValueSource(strings = {"smoke", "restart", "return", "cut"})
     void theProgramPasses(String scenario) throws Exception {
         String text = new String(LabTest.class.getResourceAsStream("/scenarios/" + scenario + ".toml").readAllBytes(),
                 StandardCharsets.UTF_8);
--- a/lab/src/test/java/gorsestack/lab/judge/JudgeTest.java
+++ b/lab/src/test/java/gorsestack/lab/judge/JudgeTest.java
@@ -220,6 +220,7 @@
         records.lab.add(new Lab(1, 2, 3));
         records.seconds.add(new Records.Second(0, 1, 2, 3));
         records.listCalls.add(new Records.ListCall(0, 5, "watch"));
+        records.connects.add(new Records.Connect(1, 2, 3));
         records.write(folder.resolve("r.zst"));
         Records read = Records.read(folder.resolve("r.zst"));
         assertEquals(records.tries, read.tries);
@@ -228,6 +229,7 @@
         assertEquals(records.faults, read.faults);
         assertEquals(records.seconds, read.seconds);
         assertEquals(records.listCalls, read.listCalls);
+        assertEquals(records.connects, read.connects);
         assertEquals(records.changes, read.changes);
         assertEquals(records.fell, read.fell);
         assertEquals(records.processes, read.processes);
@@ -270,6 +272,24 @@
                 + figures.get("peak_connections_over_steady", "all"));
     }
 
+    /** The first connection of a pair has to be opened again by a process that started; any other is one more. */
+    @Test
+    void tellsFirstConnectionsFromFurtherOnesAndTheProcessesOwnStart() {
+        records.faults.add(new Happened(0, "kill", 15_000 * MS, 15_000 * MS, List.of("n0"), true));
+        records.processes.addAll(List.of(new Process(0, "start", -9_000 * MS), new Process(1, "start", -9_000 * MS), new Process(0, "ready", 0),
+                new Process(0, "kill", 15_000 * MS), new Process(0, "start", 15_010 * MS), new Process(0, "ready", 16_200 * MS)));
+        for (long[] c : new long[][] {{0, 0, 1_000}, {0, 0, 2_000}, {0, 1, 2_100}, {1, 0, 2_200}, {0, 0, 16_000}, {0, 1, 16_100}, {1, 0, 16_150},
+            {0, 0, 16_300}, {0, 0, 16_400}}) {
+            records.connects.add(new Records.Connect((int) c[0], (int) c[1], c[2] * MS));
+        }
+        Figures figures = new Figures(scenario, records, 0);
+        assertEquals("1.0 3.0 3.0", figures.get("peak_further_connections", "before") + " " + figures.get("peak_further_connections", "after") + " "
+                + figures.get("peak_further_connections_over_steady", "all"));
+        assertEquals(1.19, figures.get("start_s", "all"), 1e-9);
+        records.processes.add(new Process(1, "start", 17_000 * MS));
+        assertEquals(Figures.NEVER, new Figures(scenario, records, 0).get("start_s", "all"));
+    }
+
     @Test
     void countsPeaksInAnySecond() {
         assertEquals(4, Figures.peak(new long[] {900 * MS, 1500 * MS, 1850 * MS, 1899 * MS}, 0, 5000 * MS));
