--- /dev/null
+++ b/balancer/src/main/java/gorsestack/fleet/Command.java
@@ -0,0 +1,25 @@
+package gorsestack.fleet;
+
+/** What members have committed of duties. Each names the process that asked and its own number for it, so that it knows its own again. */
+public sealed interface Command {
+    String duty();
+
+    Owner by();
+
+    long ticket();
+
+    /** Takes a duty whose entry is still as it was when this was asked; the epoch is a new one, and no less than so much. */
+    record Take(String duty, Owner by, long ticket, long version, long length, long atLeast) implements Command { }
+
+    /** Goes on with it. */
+    record Renew(String duty, Owner by, long ticket, long epoch) implements Command { }
+
+    /** Lets it go; nothing is done under that epoch any more. */
+    record Release(String duty, Owner by, long ticket, long epoch) implements Command { }
+
+    /** Before the first step of work that has several: what it is, so that another owner can finish it. */
+    record Begin(String duty, Owner by, long ticket, long epoch, String work, String what) implements Command { }
+
+    /** All steps of it are done. */
+    record Finish(String duty, Owner by, long ticket, long epoch, String work) implements Command { }
+}
--- a/balancer/src/test/java/gorsestack/LayersTest.java
+++ b/balancer/src/test/java/gorsestack/LayersTest.java
@@ -26,6 +26,8 @@
                 .layer("wire").definedBy("gorsestack.wire")
                 .layer("settings").definedBy("gorsestack.settings")
                 .layer("recovery").definedBy("gorsestack.recovery")
+                .layer("fleet").definedBy("gorsestack.fleet")
+                .whereLayer("fleet").mayOnlyBeAccessedByLayers("serve", "main")
                 .whereLayer("main").mayNotBeAccessedByAnyLayer()
                 .whereLayer("serve").mayOnlyBeAccessedByLayers("main")
                 .whereLayer("simhost").mayOnlyBeAccessedByLayers("main")
@@ -40,10 +42,12 @@
     /** Decisions have no I/O, no clock of their own and no threads. */
     @Test
     void decisionsTouchNothing() {
-        ArchRuleDefinition.noClasses().that().resideInAPackage("gorsestack.decision").should().dependOnClassesThat()
-                .resideInAnyPackage("java.io..", "java.net..", "java.nio.channels..", "java.nio.file..", "java.time..", "java.util.concurrent..", "gorsestack.wire..",
+        ArchRuleDefinition.noClasses().that().resideInAnyPackage("gorsestack.decision", "gorsestack.fleet").should().dependOnClassesThat()
+                .resideInAnyPackage("java.io..", "java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..", "gorsestack.wire..",
                         "gorsestack.settings..").check(CLASSES);
-        ArchRuleDefinition.noClasses().that().resideInAPackage("gorsestack.decision").should()
+        ArchRuleDefinition.noClasses().that().resideInAPackage("gorsestack.decision").should().dependOnClassesThat()
+                .resideInAnyPackage("java.time..").check(CLASSES);
+        ArchRuleDefinition.noClasses().that().resideInAnyPackage("gorsestack.decision", "gorsestack.fleet").should()
                 .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis").check(CLASSES);
     }
 }
