--- a/balancer/src/main/java/gorsestack/fleet/Holder.java
+++ b/balancer/src/main/java/gorsestack/fleet/Holder.java
@@ -106,8 +106,8 @@
 
     /** All that it goes by, times as they are from now. */
     List<Object> key(long now) {
-        return Arrays.asList(me, willing, entry, Math.max(-2 * length, heardAt - now), epoch, epoch == 0 ? 0 : Math.max(0, until - now), over, atLeast, asked,
-                asked == Kind.NONE && epoch == 0 ? 0 : Math.max(-2 * length, askedAt - now), ticket,
+        return Arrays.asList(me, willing, entry, Math.max(-2 * length, heardAt - now), epoch, epoch == 0 ? 0 : Math.max(0, until - now), over,
+                atLeast, asked, asked == Kind.NONE && epoch == 0 ? 0 : Math.max(-2 * length, askedAt - now), ticket,
                 asks.entrySet().stream().filter(a -> now - a.getValue() < length).map(a -> List.of(a.getKey(), a.getValue() - now)).toList(),
                 heards.entrySet().stream().map(h -> List.of(h.getKey(), Math.max(-2 * length, h.getValue() - now))).toList(), granted,
                 epoch == 0 ? 0 : grantedAsked - now, asked == Kind.NONE ? null : question, Math.max(0, due - now));
@@ -134,7 +134,7 @@
             due = Long.MAX_VALUE;
             return;
         } else {
-            // Danger: all that wait ask at once. Drawn over a sixth of a lease, over the next one by who had better not.
+            // Danger: all that wait ask at once. Drawn over a sixth of a lease.
             long lease = Math.max(entry.length(), length);
             // Nobody's, or this process's own, which has dropped it: nobody else acts under that.
             boolean idle = entry.owner() == null && entry.version() > 0 || me.equals(entry.owner());
@@ -160,9 +160,10 @@
             // Danger: what was asked is of an entry that is no more; asked again at once it would not wait for the one that is.
             asked = Kind.NONE;
         }
-        // Danger: granted so late that it is over; then it is as one of another's. Whichever question was granted, it counts from its own time.
-        // Danger: an epoch taken up once more would number its effects anew; one that was dropped is over.
-        if (changed && asking != null && now < asking + length && after.epoch() > over && (command instanceof Command.Take || command instanceof Command.Renew)) {
+        // Danger: granted so late that it is over, it is as one of another's. Danger: an epoch taken up once more would number its effects
+        // anew; one that was dropped is over. Whichever question was granted, it counts from its own time.
+        boolean lease = command instanceof Command.Take || command instanceof Command.Renew;
+        if (changed && lease && asking != null && now < asking + length && after.epoch() > over) {
             granted = after.version();
             grantedAsked = asking;
             boolean fresh = epoch != after.epoch();
