--- a/balancer/src/test/java/gorsestack/serve/ServiceTest.java
+++ b/balancer/src/test/java/gorsestack/serve/ServiceTest.java
@@ -106,6 +106,7 @@
             String out = new String(check.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertEquals(0, check.waitFor(), out);
             assertEquals(kept, out.contains("gorsestack.recovery."), kept + "");
+            assertFalse(out.contains("gorsestack.fleet.") || out.contains("io.microraft."), "agreement is not loaded");
         }
     }
 
