--- a/lab/src/main/java/gorsestack/lab/process/Fleet.java
+++ b/lab/src/main/java/gorsestack/lab/process/Fleet.java
@@ -45,8 +45,15 @@
         made.setDaemon(true);
         return made;
     });
-    /** Whose end was asked for; any other end is a crash. */
-    private final Set<Integer> expected = java.util.concurrent.ConcurrentHashMap.newKeySet();
+    /** One process of a balancer. */
+    private record Life(int balancer, int number) { }
+
+    /**
+     * Whose end was asked for; any other end is a crash. Danger: a process that is killed may be heard to have ended when the next one runs
+     * already; what was asked for is that one's end alone.
+     */
+    private final Set<Life> expected = java.util.concurrent.ConcurrentHashMap.newKeySet();
+    private final Map<Integer, Integer> lives = new HashMap<>();
     private final Map<Integer, ObjectNode> lastKnown = new HashMap<>();
     private int starts;
 
@@ -91,10 +98,10 @@
                 Files.writeString(balancers.get(b).config(), config(b, list, move).toPrettyString());
             }
             for (int b : whom) {
-                expected.remove(b);
+                Life life = new Life(b, lives.merge(b, 1, Integer::sum));
                 happened(b, "start");
                 balancers.get(b).start(code -> {
-                    boolean asked = expected.contains(b);
+                    boolean asked = expected.remove(life);
                     happened(b, asked ? "exit " + code : "crash " + code);
                 });
             }
@@ -112,8 +119,8 @@
         };
         on(() -> {
             if (name.equals("KILL") || name.equals("TERM")) {
-                expected.addAll(whom);
                 for (int b : whom) {
+                    expected.add(new Life(b, lives.getOrDefault(b, 0)));
                     lastKnown.put(b, world.loop.submit(() -> known.known(b)).get());
                 }
             }
