What has come to a socket is read before its connection ends, and a failed read loses nothing

An idle connection was shut though a request waited unread in the system's buffer; it was read after the shutdown and thrown away. 2. A read that failed after others had succeeded threw away what they brought: an answer or a line of the watch with a reset behind it. 3. A request was checked when it was queued for the socket, not when it went out; a client's end that came with its request was heard of a task later. 4. A connect that failed on this machine (EMFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH) counted against the upstream. 5. A failed accept made the acceptor sleep for a second; while closing it left the listener open. 6. A read or write that failed for a moment (ENOBUFS, ENOMEM) closed its connection. Change: SocketProcessor (reads once more before an end, keeps a failure behind what was read, repeats what fails for a moment, asks a condition right before the first byte of a request), BoundedAcceptor with bounded retries, SocketErrors, both out of MinaNetwork. New connections that nothing was asked on are closed at once, and nothing is read after that. Where nothing is cancelled, an attempt that waits unwritten is withdrawn when its client leaves.

--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -41,7 +41,8 @@
         ClientConnection client;
         Request request;
         Runnable net;
-        boolean ended;
+        /** Read by the sockets' thread too. */
+        volatile boolean ended;
         int out;
         final List<Attempt> attempts = new ArrayList<>();
 
@@ -58,13 +59,14 @@
         int number;
         String upstream;
         long at;
-        long until;
+        /** Read by the sockets' thread too, as the next two are. */
+        volatile long until;
         /** Rule 2: later than that its repeat may not be dropped any more. */
-        long sendBy = Long.MAX_VALUE;
+        volatile long sendBy = Long.MAX_VALUE;
         UpstreamConnection connection;
         Runnable timer;
         Answer answer;
-        boolean over;
+        volatile boolean over;
         boolean neverRan;
 
         @Override
@@ -265,10 +267,21 @@
             c.end();
             trace("{0} given up by its client", c.id);
             policy.clientGone(tick(), c.id);
+            withdrawUnsent(c);
             forgetIfOver(c);
         }
     }
 
+    /** Guards against: where nothing is cancelled, an attempt whose request still waits to be written would begin for nobody. */
+    private static void withdrawUnsent(Call c) {
+        for (Attempt s : List.copyOf(c.attempts)) {
+            if (!s.over && s.connection != null && !s.connection.requestWritten()) {
+                s.close();
+                s.ended(Outcome.NOT_SENT, null);
+            }
+        }
+    }
+
     @Override
     public void news(Catalog catalog) {
         recovery.heard(catalog);
--- a/balancer/src/main/java/gorsestack/wire/Channel.java
+++ b/balancer/src/main/java/gorsestack/wire/Channel.java
@@ -1,10 +1,25 @@
 package gorsestack.wire;
 
+import java.util.function.BooleanSupplier;
+
 /** What a handler may do to its connection. */
 public interface Channel {
 
     void write(byte[] bytes);
 
+    /**
+     * The same under a condition that is checked on the sockets' thread right before the first byte goes out; where it does not hold
+     * nothing is written and the connection is closed. Nothing else may wait to go out, and the condition may read no state of the event
+     * loop's but what is volatile.
+     */
+    default void write(byte[] bytes, BooleanSupplier stillWanted) {
+        if (stillWanted.getAsBoolean()) {
+            write(bytes);
+        } else {
+            close();
+        }
+    }
+
     /** Bytes written and not gone out yet. */
     long unsent();
 
@@ -23,6 +38,14 @@
      */
     void finish();
 
+    /**
+     * Closes at once a connection on which nothing is owed, unless something has come. Nothing is read after it: a request that is read
+     * and thrown away is one that was taken and had no answer; one that is not read is its client's to send again.
+     */
+    default void closeUnlessAsked() {
+        finishUnlessAsked();
+    }
+
     /** What comes from now on is read and thrown away, so that the end behind it is seen; a flood is cut off. */
     void discard();
 
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -79,7 +79,8 @@
     private boolean leaving;
     private boolean held;
     private boolean told;
-    private boolean closed;
+    /** Read by the sockets' thread too. */
+    private volatile boolean closed;
 
     public ClientConnection(Limits limits, EventLoop eventLoop, Intake intake) {
         this.eventLoop = eventLoop;
@@ -460,7 +461,11 @@
     public void closeIfIdle() {
         if (!busy && !deaf && !leaving && !parser.begun() && ahead.isEmpty()) {
             leaving = true;
-            channel.finishUnlessAsked();
+            if (served && eventLoop.now() - idleSince < limits.linger()) {
+                channel.finishUnlessAsked(); // its client may still read its last answer
+            } else {
+                channel.closeUnlessAsked();
+            }
         }
     }
 
--- a/balancer/src/main/java/gorsestack/wire/ConnectionHandler.java
+++ b/balancer/src/main/java/gorsestack/wire/ConnectionHandler.java
@@ -13,6 +13,11 @@
     /** The other side has ended it in order; closed follows. */
     default void ended() { }
 
+    /** The connection never came up for a reason on this machine (descriptors, buffers, addresses, routes); nothing follows. */
+    default void failedHere() {
+        closed();
+    }
+
     /** The connection has ended or never came up; nothing follows, but it may be said twice. */
     void closed();
 }
--- a/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -3,18 +3,9 @@
 import gorsestack.settings.Limits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
-import java.net.StandardSocketOptions;
-import java.nio.channels.SelectionKey;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -22,13 +13,10 @@
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
-import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
-import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
-import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 
 /** Sockets by Apache MINA: one acceptor and one connector on one processor. */
@@ -45,7 +33,7 @@
         thread.setDaemon(true);
         return thread;
     });
-    private final OrderlyProcessor processor = new OrderlyProcessor(threads);
+    private final SocketProcessor processor = new SocketProcessor(threads);
     private final BoundedAcceptor acceptor;
     private boolean stopped;
     /** Bytes of all connections that were read and that the event loop has not come to. */
@@ -102,7 +90,7 @@
 
     @Override
     public void bound(int most) {
-        acceptor.most = most;
+        acceptor.bound(most);
     }
 
     @Override
@@ -113,7 +101,7 @@
 
     @Override
     public int accepted() {
-        return acceptor.open.get();
+        return acceptor.open();
     }
 
     @Override
@@ -121,14 +109,15 @@
         ConnectFuture future = connector.connect(address, (session, f) -> session.setAttribute(HANDLER, handler));
         future.addListener(f -> {
             if (!future.isConnected()) {
-                eventLoop.execute(handler::closed);
+                boolean local = SocketErrors.isLocal(future.getException());
+                eventLoop.execute(local ? handler::failedHere : handler::closed);
             }
         });
     }
 
     /** Danger: those that have their last answer keep out others that have something to ask. */
     private void spareLingering() {
-        for (int over = acceptor.open.get() - (acceptor.most - limits.spareConnections()); over > 0 && !lingering.isEmpty(); over--) {
+        for (int over = acceptor.open() - (acceptor.bound() - limits.spareConnections()); over > 0 && !lingering.isEmpty(); over--) {
             lingering.poll().closeNow();
         }
     }
@@ -156,6 +145,7 @@
             ConnectionHandler handler = handler(session);
             SessionChannel channel = new SessionChannel((NioSession) session, handler);
             session.setAttribute(CHANNEL, channel);
+            session.setAttribute(SocketProcessor.WATCHER, channel);
             eventLoop.execute(() -> {
                 handler.opened(channel);
                 spareLingering();
@@ -205,122 +195,8 @@
         }
     }
 
-    /**
-     * Danger: the library changes what a socket waits for in the caller's thread. Beside the selector's own changes one
-     * is lost, and reading goes on only when the selector next wakes, up to a second later.
-     */
-    private static final class OrderlyProcessor extends NioProcessor {
-        private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
-        private volatile Thread loop;
-
-        OrderlyProcessor(Executor threads) {
-            super(threads);
-        }
-
-        @Override
-        protected int select(long timeout) throws Exception {
-            loop = Thread.currentThread();
-            runTasks();
-            int selected = super.select(timeout);
-            runTasks();
-            return selected;
-        }
-
-        /** Runs a task between two reads, never beside one. */
-        void execute(Runnable task) {
-            tasks.add(task);
-            wakeup();
-        }
-
-        private void runTasks() {
-            for (Runnable task; (task = tasks.poll()) != null;) {
-                task.run();
-            }
-        }
-
-        /** Sends the end of the stream; reading goes on. Within a task alone. */
-        void shutOutput(NioSession session) throws IOException {
-            for (SelectionKey key : selector.keys()) {
-                if (key.attachment() == session && key.channel() instanceof SocketChannel) {
-                    ((SocketChannel) key.channel()).shutdownOutput();
-                    return;
-                }
-            }
-            throw new IOException("no such session");
-        }
-
-        @Override
-        public void updateTrafficControl(NioSession session) {
-            if (Thread.currentThread() == loop) {
-                super.updateTrafficControl(session);
-            } else {
-                updateTrafficMask(session);
-            }
-        }
-    }
-
-    /** Danger: out of descriptors nothing is accepted for a second; over its bound it waits for room instead. */
-    private static final class BoundedAcceptor extends NioSocketAcceptor {
-        private volatile int most;
-        private final boolean beside;
-        private final AtomicInteger open = new AtomicInteger();
-        private final NioProcessor shared;
-
-        BoundedAcceptor(Executor threads, NioProcessor processor, int most, boolean beside) {
-            super(threads, processor);
-            this.most = most;
-            this.beside = beside;
-            shared = processor;
-        }
-
-        /** Two processes of one balancer listen at once during an upgrade; the system deals out between them. */
-        @Override
-        protected ServerSocketChannel open(SocketAddress address) throws IOException {
-            ServerSocketChannel listener = ServerSocketChannel.open();
-            try {
-                listener.configureBlocking(false);
-                listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-                listener.setOption(StandardSocketOptions.SO_REUSEPORT, beside);
-                listener.bind(address, getBacklog());
-                listener.register(selector, SelectionKey.OP_ACCEPT);
-                return listener;
-            } catch (IOException e) {
-                listener.close();
-                throw e;
-            }
-        }
-
-        /** Danger: closing a listener resets what has connected and waits in its backlog. */
-        @Override
-        protected void close(ServerSocketChannel listener) throws Exception {
-            for (NioSession session; (session = taken(listener)) != null;) {
-                initSession(session, null, null);
-                shared.add(session);
-            }
-            super.close(listener);
-        }
-
-        @Override
-        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listener) throws Exception {
-            if (open.get() >= most) {
-                Thread.sleep(1); // its own thread; what has connected waits in the backlog
-                return null;
-            }
-            return taken(listener);
-        }
-
-        private NioSession taken(ServerSocketChannel listener) throws Exception {
-            NioSession session = super.accept(shared, listener);
-            if (session != null) {
-                open.incrementAndGet();
-                session.getCloseFuture().addListener(future -> open.decrementAndGet());
-            }
-            return session;
-        }
-    }
-
     /** Danger: a sender at full speed fills the memory with what the event loop has not come to. */
-    private final class SessionChannel implements Channel {
+    private final class SessionChannel implements Channel, SocketProcessor.Watcher {
         private final NioSession session;
         private final ConnectionHandler handler;
         private volatile WriteFuture lastWrite;
@@ -335,6 +211,9 @@
         /** Of the processor's thread: the output has been shut. */
         private boolean shut;
         private int discarded;
+        /** Asked before the next write, once. */
+        private volatile BooleanSupplier condition;
+        private volatile boolean inputEnded;
 
         SessionChannel(NioSession session, ConnectionHandler handler) {
             this.session = session;
@@ -346,6 +225,24 @@
             lastWrite = session.write(IoBuffer.wrap(bytes));
         }
 
+        @Override
+        public void write(byte[] bytes, BooleanSupplier stillWanted) {
+            condition = stillWanted;
+            write(bytes);
+        }
+
+        @Override
+        public boolean mayWrite() {
+            BooleanSupplier asked = condition;
+            condition = null;
+            return asked == null || asked.getAsBoolean();
+        }
+
+        @Override
+        public void inputEnded() {
+            inputEnded = true;
+        }
+
         @Override
         public long unsent() {
             return session.getScheduledWriteBytes();
@@ -358,7 +255,7 @@
 
         @Override
         public boolean open() {
-            return !session.isClosing();
+            return !inputEnded && !session.isClosing();
         }
 
         @Override
@@ -396,11 +293,23 @@
         public void finishUnlessAsked() {
             int seen = handled;
             giveUpUnlessWritten(unsent(), () -> reads == seen);
-            whenWritten(() -> {
-                if (reads == seen) {
-                    shut();
-                }
-            });
+            whenWritten(() -> unlessAsked(seen, this::shut));
+        }
+
+        @Override
+        public void closeUnlessAsked() {
+            int seen = handled;
+            whenWritten(() -> unlessAsked(seen, session::closeNow));
+        }
+
+        /** On the processor's thread. Guards against: a request that has come and is not read yet, as reading it later takes it. */
+        private void unlessAsked(int seen, Runnable end) {
+            if (reads == seen && !session.isClosing()) {
+                processor.readNow(session);
+            }
+            if (reads == seen) {
+                end.run();
+            }
         }
 
         private void whenWritten(Runnable then) {
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -71,6 +71,10 @@
     private boolean kept;
     private boolean silent;
     private boolean closed;
+    /** The upstream takes nothing new any more; read by the sockets' thread. */
+    private volatile boolean withdrawn;
+    /** The sockets' thread has found that the request may not go out, and has written nothing of it. */
+    private volatile boolean denied;
 
     public UpstreamConnection(Limits limits, EventLoop eventLoop, Keeper keeper, String upstream, InetSocketAddress address) {
         this.limits = limits;
@@ -101,12 +105,24 @@
     }
 
     private void write() {
-        piece(waiting.request());
+        Waiting by = waiting;
+        denied = false;
+        writing++;
+        channel.write(by.request(), () -> mayGoOut(by));
         if (upload != null) {
             upload.to(this);
         }
     }
 
+    /**
+     * The last look before the first byte, on the sockets' thread. Guards against: a request that waited between the decision and the
+     * write while its client left, its call was answered, its time passed or its upstream began to drain.
+     */
+    private boolean mayGoOut(Waiting by) {
+        denied = withdrawn || !by.mayBeSent();
+        return !denied;
+    }
+
     @Override
     public void piece(byte[] bytes) {
         writing++;
@@ -357,8 +373,9 @@
         return connecting() && waiting == null;
     }
 
-    /** Its upstream takes nothing new; what waits for the connection has not been sent. */
+    /** Its upstream takes nothing new; what has not been written to its last byte has not been sent. */
     public void refuse() {
+        withdrawn = true;
         if (connecting()) {
             end(Outcome.NOT_SENT); // what comes up is closed then
         }
@@ -385,7 +402,19 @@
             keeper.keptInVain();
         }
         // Rule 2: a request whose last byte was not written cannot have begun.
-        end(written() ? Outcome.BROKEN : Outcome.UNREACHABLE);
+        end(written() ? Outcome.BROKEN : denied ? Outcome.NOT_SENT : Outcome.UNREACHABLE);
         keeper.closed(this);
     }
+
+    /** Guards against: a lack of descriptors, buffers or routes here that makes every upstream look sick at once. */
+    @Override
+    public void failedHere() {
+        end(Outcome.NOT_SENT);
+        keeper.closed(this);
+    }
+
+    /** Whether the request of the attempt under way may have been written to its last byte, as far as the socket knows. */
+    public boolean requestWritten() {
+        return requestWhole && !unsent && (writing == 0 || channel.unsent() == 0);
+    }
 }
--- a/balancer/src/test/java/gorsestack/memory/UnreadInputTest.java
+++ b/balancer/src/test/java/gorsestack/memory/UnreadInputTest.java
@@ -42,6 +42,22 @@
         }
     }
 
+    /** A request that comes after the close of a connection that nothing was asked on is not read: its client may send it again. */
+    @Test
+    void readsNothingOnceANewConnectionIsClosed() throws Exception {
+        try (SocketRig rig = new SocketRig(1)) {
+            Socket client = rig.client();
+            rig.connections.get(0).closeIfIdle();
+            rig.until(() -> rig.client(0).closed > 0);
+            rig.await(() -> rig.sockets.accepted() == 0);
+            say(client, call("once", "late"));
+            assertTrue(rest(client).matches("(<reset>)?"));
+            rig.drain();
+            assertEquals(0, rig.client(0).received);
+            assertNull(rig.upstreams.get(0).acceptWithin(50), "nothing was sent on");
+        }
+    }
+
     /** An upstream answers and resets its connection: what was read before the reset is an answer like any other. */
     @Test
     void servesAnAnswerThatWasReadWithTheResetBehindIt() throws Exception {
