A connection's end never overtakes what waits to be written; closes, sends and repeats are checked

Change: every end of a client's connection goes through end (in order) or abort (at once) with a reason from a closed list; an answer that breaks off, and garbage behind one, end in order; a connection whose error still waits to be written is not given up for room. Package invariant: what went out is checked after the fact (SentCheck), as is the end of each connection; violations, closes, refusals and retries are counted by reason and told by the status call.

--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -6,6 +6,10 @@
 import gorsestack.decision.Outcome;
 import gorsestack.decision.Outgoing;
 import gorsestack.decision.Settings;
+import gorsestack.invariant.CloseReason;
+import gorsestack.invariant.Invariants;
+import gorsestack.invariant.Refusal;
+import gorsestack.invariant.Rule;
 import gorsestack.operate.Handover;
 import gorsestack.operate.Management;
 import gorsestack.settings.Limits;
@@ -25,6 +29,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -43,11 +48,16 @@
         Runnable net;
         /** Read by the sockets' thread too. */
         volatile boolean ended;
+        long endedAt;
+        /** Its client left before it had its answer. */
+        boolean left;
         int out;
         final List<Attempt> attempts = new ArrayList<>();
 
-        void end() {
+        /** The time is taken behind the flag: what goes out at a later time has seen it. */
+        void end(EventLoop clock) {
             ended = true;
+            endedAt = clock.now();
             if (net != null) {
                 net.run();
             }
@@ -68,11 +78,13 @@
         Answer answer;
         volatile boolean over;
         boolean neverRan;
+        Outcome outcome;
 
         @Override
         public void ended(Outcome outcome, Answer brought) {
             if (!over) {
                 over = true;
+                this.outcome = outcome;
                 neverRan = outcome.provesItNeverRan;
                 answer = brought;
                 out.remove(this);
@@ -86,6 +98,11 @@
             }
         }
 
+        @Override
+        public void written(long beganAt) {
+            checkSent(this, beganAt);
+        }
+
         @Override
         public void reported(String report) {
             policy.report(tick(), upstream, reports.row(report));
@@ -108,6 +125,11 @@
             return !over && !call.ended && call.client.there() && time < until && time < sendBy;
         }
 
+        @Override
+        public void heldBack() {
+            invariants.refused(call.client.there() ? Refusal.TOO_LATE : Refusal.CLIENT_LEFT);
+        }
+
         /** Gives the attempt up; late bytes reach no later call, as its connection goes with it. */
         void close() {
             if (!over && connection != null) {
@@ -128,6 +150,7 @@
     private final LoadReport reports;
     private final ClientConnections clients;
     private final Recovery recovery;
+    private final Invariants invariants = new Invariants();
     private Mail mail;
     private final Map<String, Settings.Product> products = new HashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
@@ -177,12 +200,14 @@
         if (clients.full()) {
             // Danger: out of descriptors; a call that was accepted is answered, and its connection given back.
             turnedAway++;
+            invariants.refused(Refusal.NO_ROOM);
             from.answer(Answer.own(503, "", "too many connections"));
             return;
         }
         Call before = calls.get(request.id());
         if (before != null && !before.ended) {
             // Danger: two calls of one id; an upstream takes the second for a copy of the first.
+            invariants.refused(Refusal.SAME_ID);
             from.bad(new BadMessage(409, "this X-Correlation-Id is that of an open call"));
             return;
         }
@@ -249,6 +274,7 @@
     private void unanswered(Call c) {
         if (!c.ended) {
             LOG.log(System.Logger.Level.ERROR, "call {0} was left unanswered; answered 504", c.id);
+            invariants.refused(Refusal.LEFT_UNANSWERED);
             cutOff(c);
         }
     }
@@ -264,7 +290,8 @@
     public void gone(ClientConnection from) {
         Call c = byClient.remove(from);
         if (c != null && !c.ended) {
-            c.end();
+            c.left = true;
+            c.end(eventLoop);
             trace("{0} given up by its client", c.id);
             policy.clientGone(tick(), c.id);
             withdrawUnsent(c);
@@ -309,9 +336,14 @@
         if (repeat(c.request.product()) == Settings.Repeat.DEDUPLICATED) {
             s.sendBy = repeatEnds(c);
         }
+        if (!c.attempts.isEmpty()) {
+            Attempt before = c.attempts.get(c.attempts.size() - 1);
+            invariants.retried(before.over ? before.outcome.name().toLowerCase(Locale.ROOT) : "still_out");
+        }
         c.attempts.add(s);
         c.out++;
         if (!c.client.there()) {
+            invariants.refused(Refusal.CLIENT_LEFT);
             // Danger: an event loop behind its queue; the client's end is in it, and comes to no attempt.
             eventLoop.execute(() -> gone(c.client));
             eventLoop.execute(() -> s.ended(Outcome.NOT_SENT, null));
@@ -321,6 +353,7 @@
                 repeat(c.request.product()) != Settings.Repeat.NON_IDEMPOTENT);
         trace("{0} attempt {1} to {2}", c.id, s.number, upstream);
         if (s.connection == null) {
+            invariants.refused(Refusal.NO_CONNECTION);
             notSent++;
             eventLoop.execute(() -> s.ended(Outcome.NOT_SENT, null));
             return;
@@ -332,6 +365,36 @@
         }
     }
 
+    /** After the fact: whether what went out kept the rules. */
+    private void checkSent(Attempt s, long began) {
+        Call c = s.call;
+        String broken = SentCheck.sending(began, s.until, s.sendBy, c.ended ? c.endedAt : Long.MAX_VALUE, c.left,
+                pool.notifiedAt(s.upstream), limits.drainGrace());
+        if (broken != null) {
+            invariants.violated(Rule.SEND, c.id, broken);
+        }
+        Settings.Product product = products.get(c.request.product());
+        for (int i = 0; i < s.number; i++) {
+            Attempt earlier = c.attempts.get(i);
+            String repeated = earlier.neverRan ? null
+                    : SentCheck.repeating(product, began, earlier.at, pool.entry(earlier.upstream), pool.entry(s.upstream));
+            if (repeated != null) {
+                invariants.violated(Rule.REPEAT, c.id, repeated);
+            }
+        }
+    }
+
+    /** A rate-limit reply says that trying again is harmless. */
+    private void checkHarmless(Call c) {
+        Settings.Product product = products.get(c.request.product());
+        boolean mayHaveRun = c.attempts.stream().anyMatch(s -> !s.neverRan);
+        boolean harmless = product.repeat() == Settings.Repeat.IDEMPOTENT
+                || product.repeat() == Settings.Repeat.DEDUPLICATED && product.scope() == Settings.Scope.ALL;
+        if (mayHaveRun && !harmless) {
+            invariants.violated(Rule.REPEAT, c.id, "rate_limited_though_it_may_have_run");
+        }
+    }
+
     private void timeOut(Attempt s) {
         s.timer = eventLoop.at(s.until, () -> {
             s.close();
@@ -361,6 +424,7 @@
 
     @Override
     public void rateLimited(String apiCall, long comeBackAfter) {
+        checkHarmless(calls.get(apiCall));
         String advice = comeBackAfter > 0 ? "Retry-After: " + comeBackAfter / 1_000_000 / 1e3 + "\r\n" : "";
         answer(apiCall, Answer.own(429, advice, "no room; trying again is harmless"));
     }
@@ -374,7 +438,7 @@
     private void answer(String apiCall, Answer answer) {
         Call c = calls.get(apiCall);
         if (!c.ended) {
-            c.end();
+            c.end(eventLoop);
             recovery.answered(answer.status() == 200);
             trace("{0} answered {1}", c.id, answer.status());
             byClient.remove(c.client);
@@ -449,6 +513,15 @@
         clients.closed(from);
     }
 
+    @Override
+    public void ended(ClientConnection from, CloseReason reason, boolean owes) {
+        invariants.closed(reason);
+        // One that takes nothing of its answer has had all that it will take.
+        if (owes && reason != CloseReason.CLIENT_GONE && reason != CloseReason.STALLED) {
+            invariants.violated(Rule.CLOSE, "", reason.name().toLowerCase(Locale.ROOT));
+        }
+    }
+
     @Override
     public boolean ready() {
         return ready && !ending && !clients.away();
@@ -541,6 +614,8 @@
     public ObjectNode status() {
         ObjectNode status = new ObjectMapper().createObjectNode();
         status.put("ready", ready()).put("callsHeld", byClient.size()).put("clientConnections", clients.size());
+        ObjectNode counters = status.putObject("invariants");
+        invariants.report(counters::put);
         recovery.status(status);
         return status;
     }
--- a/balancer/src/main/java/gorsestack/memory/Pool.java
+++ b/balancer/src/main/java/gorsestack/memory/Pool.java
@@ -29,8 +29,10 @@
     private final Set<UpstreamConnection> all = new HashSet<>();
     /** Whose kept and coming connections are to go, once all of the news has been taken in. */
     private final Set<String> refused = new LinkedHashSet<>();
-    /** When each last started, as the list says. */
-    private final Map<String, Long> startedAt = new HashMap<>();
+    /** What the list says of each. */
+    private final Map<String, Upstreams.Entry> entries = new HashMap<>();
+    /** When it was heard of those that take nothing new that they do not; for a while also of those that are gone. */
+    private final Map<String, Long> notifiedAt = new HashMap<>();
     /** Those that the list says drain, and those out for maintenance; the list's "ready" does not undo the second. */
     private final Set<String> draining = new HashSet<>();
     private final Set<String> out = new HashSet<>();
@@ -76,7 +78,7 @@
             if (e.state() == Upstreams.State.GONE) {
                 forget(e.id());
             } else {
-                started(e.id(), e.startedAt());
+                started(e);
                 drains(e.id(), e.state() != Upstreams.State.READY);
             }
         }
@@ -88,25 +90,45 @@
     private void drains(String upstream, boolean is) {
         if (is && draining.add(upstream)) {
             refused.add(upstream);
+            notifiedAt.putIfAbsent(upstream, eventLoop.now());
         } else if (!is) {
             draining.remove(upstream);
+            takenInAgain(upstream);
         }
     }
 
+    private void takenInAgain(String upstream) {
+        if (!draining.contains(upstream) && !out.contains(upstream)) {
+            notifiedAt.remove(upstream);
+        }
+    }
+
+    /** When it was heard that this upstream takes nothing new; Long.MAX_VALUE where it takes it. */
+    long notifiedAt(String upstream) {
+        return notifiedAt.getOrDefault(upstream, Long.MAX_VALUE);
+    }
+
+    /** What the list says of it, null where it is not named. */
+    Upstreams.Entry entry(String upstream) {
+        return entries.get(upstream);
+    }
+
     /** The same, as operators say it. */
     void out(String upstream, boolean is) {
         if (is && out.add(upstream)) {
+            notifiedAt.putIfAbsent(upstream, eventLoop.now());
             refuse(upstream);
         } else if (!is) {
             out.remove(upstream);
+            takenInAgain(upstream);
         }
     }
 
     /** Danger: a name that has restarted; what is kept was opened to what was there before, and ends under the next request. */
-    private void started(String upstream, long at) {
-        Long before = startedAt.put(upstream, at);
-        if (before != null && before < at) {
-            refused.add(upstream);
+    private void started(Upstreams.Entry entry) {
+        Upstreams.Entry before = entries.put(entry.id(), entry);
+        if (before != null && before.startedAt() != entry.startedAt()) {
+            refused.add(entry.id());
         }
     }
 
@@ -121,7 +143,8 @@
     /** Danger: ids are ever new; of one that is gone nothing may stay, for memory or for another at its address. */
     private void forget(String upstream) {
         addresses.remove(upstream);
-        startedAt.remove(upstream);
+        entries.remove(upstream);
+        notifiedAt.putIfAbsent(upstream, eventLoop.now());
         draining.remove(upstream);
         heardAt.remove(upstream);
         refused.add(upstream);
@@ -239,6 +262,8 @@
 
     /** Retires what has been idle for long, before the upstream does. */
     void retire() {
+        long longAgo = eventLoop.now() - limits.answersAfterTerm();
+        notifiedAt.entrySet().removeIf(told -> told.getValue() < longAgo && !addresses.containsKey(told.getKey()));
         long before = eventLoop.now() - limits.upstreamIdle();
         for (ArrayDeque<UpstreamConnection> kept : idle.values()) {
             while (!kept.isEmpty() && kept.peekFirst().idleSince < before) {
--- a/balancer/src/main/java/gorsestack/settings/Limits.java
+++ b/balancer/src/main/java/gorsestack/settings/Limits.java
@@ -15,6 +15,8 @@
         int flowBytes,
         int allFlowBytes,
         int untakenBytes,
+        int wholeAnswerBytes,
+        int wholeAnswers,
         int queuedBytes,
         int floodBytes,
         long allQueuedBytes,
@@ -48,7 +50,8 @@
         long sweep,
         long warmUp,
         long net,
-        long wayOut) {
+        long wayOut,
+        long drainGrace) {
 
     private static final long MS = 1_000_000;
     private static final long TOLD = 6_000 * MS;
@@ -102,6 +105,9 @@
                 6 << 20,
                 // Of one that no upstream takes yet, to see its client's end: some milliseconds of reading, a third of what all may have.
                 1 << 20,
+                // An answer kept until it is whole, and how many at a time: with the copies on its way out, a sixth of the heap.
+                256 << 10,
+                8,
                 // What one connection may have read ahead of the event loop; 60 MB at full speed are more than the heap.
                 48 << 10,
                 // Thrown away to see the end behind it: some milliseconds of reading.
@@ -167,6 +173,8 @@
                 2 * MS,
                 // Half of what 99 in 100 answers took through a node at the worst start seen, as the rule's slack of
                 // 50 ms and the module's two steps cover the rest. Nobody counts on an answer that late.
-                25 * MS);
+                25 * MS,
+                // What is sent later than that to one that drains is counted as a violation; decisions do not use it.
+                (long) (settings.path("rules").path("drainGrace").asDouble(2_000) * MS));
     }
 }
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -1,6 +1,7 @@
 package gorsestack.wire;
 
 import gorsestack.decision.Settings;
+import gorsestack.invariant.CloseReason;
 import gorsestack.settings.Limits;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -29,6 +30,9 @@
 
         void closed(ClientConnection from);
 
+        /** The connection is over, and why; owes is whether a request that was read whole has no whole answer. */
+        default void ended(ClientConnection from, CloseReason reason, boolean owes) { }
+
         boolean ready();
 
         /** How far it has come back, in a word; empty where that is not told. */
@@ -79,6 +83,10 @@
     private boolean leaving;
     private boolean held;
     private boolean told;
+    /** A request was read whole and has no whole answer yet. */
+    private boolean owes;
+    /** Why this side ends it; null while it does not. */
+    private CloseReason reason;
     /** Read by the sockets' thread too. */
     private volatile boolean closed;
 
@@ -197,6 +205,7 @@
                     pipelines = true;
                     waits(bytes.length - used);
                 }
+                owes = true;
                 if (upload != null) {
                     upload.whole();
                     intake.whole(this, lastByteAt);
@@ -224,7 +233,8 @@
     public void bad(BadMessage e) {
         LOG.log(System.Logger.Level.DEBUG, "answered {0}: {1}", e.status, e.getMessage());
         if (answering != null) {
-            drop(); // in the middle of an answer, which must not look whole
+            owes = false;
+            end(CloseReason.BAD_REQUEST); // in the middle of an answer, which must not look whole
             return;
         }
         intake.gone(this);
@@ -233,13 +243,27 @@
             upload = null;
             paused = false;
         }
-        deaf = true;
         busy = true;
         lingering = true;
         channel.write(Answer.own(e.status, "", e.getMessage()).bytes(true));
+        owes = false;
+        end(CloseReason.BAD_REQUEST);
+    }
+
+    /** Ends it in order: what waits to be written goes out first. */
+    private void end(CloseReason why) {
+        deaf = true;
+        reason = reason == null ? why : reason;
         channel.finish();
     }
 
+    /** Ends it at once. Guards against: whatever waits to be written is lost with it. */
+    private void abort(CloseReason why) {
+        deaf = true;
+        reason = reason == null ? why : reason;
+        channel.close();
+    }
+
     private void whole(Head head, byte[] body) {
         busy = true;
         served = true;
@@ -282,6 +306,7 @@
         }
         channel.write(answer.bytes(last));
         answering = answer.rest();
+        owes = answering != null;
         if (answering != null) {
             answering.to(this);
         } else {
@@ -293,8 +318,10 @@
     private void turnDown(Answer answer) {
         deaf = true;
         lingering = true;
+        reason = CloseReason.ANSWERED_EARLY;
         upload.broken();
         channel.write(answer.bytes(true));
+        owes = false;
         paused = false;
         held = false;
         channel.hold(false);
@@ -308,11 +335,11 @@
             if (!parser.done()) {
                 parser.feed(bytes, 0, bytes.length);
                 if (parser.done()) {
-                    channel.finish();
+                    end(CloseReason.ANSWERED_EARLY);
                 }
             }
         } catch (BadMessage e) {
-            channel.finish();
+            end(CloseReason.ANSWERED_EARLY);
         }
     }
 
@@ -326,9 +353,14 @@
         return channel.unsent();
     }
 
+    /**
+     * The answer broke off on its way. Guards against: closed at once, the connection would take the beginning of the answer with it, and
+     * the client would have read nothing for a request that was taken. What it has read by the end is seen to be cut.
+     */
     @Override
     public void broken() {
-        drop();
+        owes = false;
+        end(CloseReason.ANSWER_CUT);
     }
 
     /** The answer has been written to its last byte. */
@@ -336,9 +368,9 @@
     public void whole() {
         answering = null;
         upload = null;
+        owes = false;
         if (last) {
-            deaf = true;
-            channel.finish();
+            end(cut ? CloseReason.SENT_TOO_MUCH : CloseReason.LAST_ANSWER);
             return;
         }
         told = false;
@@ -366,8 +398,7 @@
             read(chunk.bytes);
         }
         if (cut && !closed && !deaf && !busy && ahead.isEmpty()) {
-            deaf = true; // in the middle of what was thrown away
-            channel.finish();
+            end(CloseReason.SENT_TOO_MUCH); // in the middle of what was thrown away
         }
         if (held && uploading() && aheadBytes <= intake.flow().most() / 2) {
             held = false;
@@ -379,10 +410,10 @@
     public void giveUpIfOverdue() {
         long now = eventLoop.now();
         if (answering != null && now - movedAt >= limits.restOfStream()) {
-            drop(); // takes nothing of what it asked for
+            drop(CloseReason.STALLED); // takes nothing of what it asked for
         }
-        if (deaf && upload != null && now - movedAt >= limits.standstill()) {
-            channel.close();
+        if (deaf && upload != null && now - movedAt >= limits.standstill() && channel.unsent() == 0) {
+            abort(CloseReason.ANSWERED_EARLY);
         }
         if (deaf || busy && !uploading() || paused) {
             return;
@@ -400,7 +431,7 @@
     /** What is closed first when room is short: answered and lingering, then never heard of, then idle; else 9. */
     public int spared() {
         long now = eventLoop.now();
-        if (lingering) {
+        if (lingering && channel.unsent() == 0) {
             return 0;
         }
         // Danger: deaf but not lingering is one whose last answer is on its way out.
@@ -415,18 +446,21 @@
 
     /** At once, whatever is under way; a call that is open is given up. */
     public void drop() {
+        drop(CloseReason.SHUTDOWN);
+    }
+
+    private void drop(CloseReason why) {
         if (busy && !deaf) {
             intake.gone(this);
         }
-        deaf = true;
-        channel.close();
+        abort(why);
         intake.closed(this);
     }
 
     /** Makes room: one that has its error is closed at once, one between calls in order. */
     public void spare() {
         if (lingering) {
-            drop();
+            drop(CloseReason.ROOM);
         } else {
             closeIfIdle();
         }
@@ -437,8 +471,7 @@
         if (busy && !deaf && answering == null) {
             drop();
         } else if (!deaf && answering == null) {
-            deaf = true;
-            channel.finish();
+            end(CloseReason.SHUTDOWN);
         }
     }
 
@@ -477,6 +510,13 @@
         }
     }
 
+    private CloseReason endReason() {
+        if (reason != null) {
+            return reason;
+        }
+        return !leaving ? CloseReason.CLIENT_GONE : served ? CloseReason.IDLE : CloseReason.NEVER_ASKED;
+    }
+
     @Override
     public void closed() {
         if (closed) {
@@ -486,6 +526,7 @@
         if (channel == null) {
             return;
         }
+        intake.ended(this, endReason(), owes);
         if (busy && !deaf) {
             intake.gone(this);
         }
--- a/balancer/src/main/java/gorsestack/wire/Flow.java
+++ b/balancer/src/main/java/gorsestack/wire/Flow.java
@@ -6,6 +6,8 @@
 public final class Flow {
     private final Limits limits;
     private int open;
+    /** Answers that are kept whole though they are larger than others. */
+    private int whole;
     /** Bytes of all that were read and wait for whoever takes them. */
     private int ahead;
 
@@ -21,6 +23,22 @@
         open--;
     }
 
+    /**
+     * Whether one more answer may be kept until it is whole. An answer that has begun to go on cannot be had elsewhere, whatever becomes of
+     * its upstream; one that is kept can.
+     */
+    boolean keepWhole() {
+        if (whole >= limits.wholeAnswers()) {
+            return false;
+        }
+        whole++;
+        return true;
+    }
+
+    void keptWhole() {
+        whole--;
+    }
+
     void ahead(int change) {
         ahead += change;
     }
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -20,6 +20,12 @@
         /** The request's bytes, asked for as they are written: they tell the upstream how long its answer will be waited for from then. */
         byte[] request();
 
+        /** Its request has gone out to its last byte; at is when the first did, on the event loop's clock. */
+        default void written(long at) { }
+
+        /** It was found not to be wanted any more as it was to be sent. */
+        default void heldBack() { }
+
         /** Whether it may still be sent, as its connection comes up only now: its call open, its client there, its time not over. */
         boolean mayBeSent();
     }
@@ -70,11 +76,16 @@
     private boolean checked;
     private boolean kept;
     private boolean silent;
+    /** Its answer is kept until it is whole, though it is a large one. */
+    private boolean keepsWhole;
     private boolean closed;
     /** The upstream takes nothing new any more; read by the sockets' thread. */
     private volatile boolean withdrawn;
     /** The sockets' thread has found that the request may not go out, and has written nothing of it. */
     private volatile boolean denied;
+    /** When the sockets' thread let the request under way go out. */
+    private volatile long beganAt;
+    private boolean writtenTold;
 
     public UpstreamConnection(Limits limits, EventLoop eventLoop, Keeper keeper, String upstream, InetSocketAddress address) {
         this.limits = limits;
@@ -107,6 +118,7 @@
     private void write() {
         Waiting by = waiting;
         denied = false;
+        writtenTold = false;
         writing++;
         channel.write(by.request(), () -> mayGoOut(by));
         if (upload != null) {
@@ -119,6 +131,7 @@
      * write while its client left, its call was answered, its time passed or its upstream began to drain.
      */
     private boolean mayGoOut(Waiting by) {
+        beganAt = eventLoop.now();
         denied = withdrawn || !by.mayBeSent();
         return !denied;
     }
@@ -175,6 +188,7 @@
             // Danger: a connection that comes up as the call's time, the repeat window or the drain grace ends, or for a client
             // that has gone. What is not sent has not run.
             if (!keeper.takes(this) || !waiting.mayBeSent()) {
+                waiting.heldBack();
                 end(Outcome.NOT_SENT);
                 return;
             }
@@ -191,6 +205,10 @@
         if (upload != null) {
             upload.sent();
         }
+        if (waiting != null && written() && !writtenTold) {
+            writtenTold = true;
+            waiting.written(beganAt);
+        }
     }
 
     @Override
@@ -210,7 +228,7 @@
             int used = parser.feed(bytes, 0, bytes.length);
             if (parser.done()) {
                 done(used < bytes.length);
-            } else if (waiting != null && parser.large() && parser.came() >= SOME) {
+            } else if (waiting != null && parser.large() && parser.came() >= SOME && !keepsWhole()) {
                 goOn();
             }
             if (!closed && (waiting != null || rest != null) && parser.begun() && !checked) {
@@ -222,7 +240,38 @@
         }
     }
 
+    private boolean keepsWhole() {
+        if (Math.max(parser.length(), parser.came()) > limits.wholeAnswerBytes()) {
+            releaseWhole();
+        } else if (!keepsWhole && keeper.flow().keepWhole()) {
+            keepsWhole = true;
+            Waiting of = waiting;
+            eventLoop.at(eventLoop.now() + limits.restOfAnswer(), () -> keepNoLonger(of));
+        }
+        return keepsWhole;
+    }
+
+    /** A large answer that comes slowly is passed on as it comes, as there is no telling when it will be whole. */
+    private void keepNoLonger(Waiting of) {
+        if (keepsWhole && waiting == of) {
+            releaseWhole();
+            try {
+                goOn();
+            } catch (BadMessage e) {
+                end(Outcome.SPOILT);
+            }
+        }
+    }
+
+    private void releaseWhole() {
+        if (keepsWhole) {
+            keepsWhole = false;
+            keeper.flow().keptWhole();
+        }
+    }
+
     private void done(boolean more) throws BadMessage {
+        releaseWhole();
         Head head = parser.head();
         // Danger: a second copy of the answer before, taken for this request's. A large request may be turned down early.
         if (!written() && (upload == null || head.start[1].equals("200"))) {
@@ -297,7 +346,7 @@
     }
 
     private long mostSilence() {
-        return rest == null ? limits.restOfAnswer() : limits.restOfStream();
+        return rest == null && !keepsWhole ? limits.restOfAnswer() : limits.restOfStream();
     }
 
     /** Rule 2: only what says that it was not processed has never run. */
@@ -327,6 +376,7 @@
     public void close() {
         if (!closed) {
             closed = true;
+            releaseWhole();
             waiting = null;
             Body from = upload;
             Body to = rest;
@@ -401,6 +451,9 @@
         if (!closed && waiting != null && kept && silent) {
             keeper.keptInVain();
         }
+        if (denied && waiting != null) {
+            waiting.heldBack();
+        }
         // Rule 2: a request whose last byte was not written cannot have begun.
         end(written() ? Outcome.BROKEN : denied ? Outcome.NOT_SENT : Outcome.UNREACHABLE);
         keeper.closed(this);
