What operators say is acknowledged once it is on the disk, and outlives failing writes and set clocks

A write that failed was answered 200 all the same, and was never tried again (Handover.said, write). 2. A folder that could not be had at the start was given up for good. 3. Of two words the later by wall clock counted: said to a process whose clock is an hour back, 'ready' was undone. 4. An exception in a periodic task ended its schedule without a line. Change: the word holds in the process at once; the answer is 503, 'not kept yet', until it is on the disk, and each look (0.2 s) writes again; the folder is opened later. Times in the state file are moved onto the reader's clock by the system's monotonic clock and boot id (two fields more on the file's first line; files without them are read as before), and a later word is always later than the one it answers. Periodic tasks log what fails and go on. An operator's answer is written out before its connection ends.

--- a/balancer/src/main/java/gorsestack/operate/Handover.java
+++ b/balancer/src/main/java/gorsestack/operate/Handover.java
@@ -1,6 +1,7 @@
 package gorsestack.operate;
 
 import gorsestack.decision.Chance;
+import gorsestack.recovery.ClockOrigin;
 import gorsestack.recovery.FolderDisk;
 import gorsestack.recovery.State;
 import gorsestack.recovery.Store;
@@ -21,6 +22,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 
 /**
  * What two processes of one balancer share during an upgrade: what operators said, in one small file, and who else is
@@ -71,13 +73,15 @@
     private final Listener listener;
     private final String name;
     private final Store store;
+    private final Path lockFile;
+    private final ClockOrigin clock;
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread made = new Thread(task, "handover");
         made.setDaemon(true);
         return made;
     });
     private Map<String, State.Ban> known = new TreeMap<>();
-    private FileChannel locks;
+    private volatile FileChannel locks;
     private long place;
     private boolean another;
     private boolean otherOpen;
@@ -91,16 +95,20 @@
     private long incarnation;
     private long keptAt = Long.MIN_VALUE / 2;
     private FileLock opened;
+    /** This process takes in clients. */
+    private volatile boolean ready;
     private volatile boolean successor;
+    /** Something was said by hand that is not on the disk yet. */
+    private volatile boolean unkept;
 
     private static String file(String name) {
         return "gorsestack-" + URLEncoder.encode(name, StandardCharsets.UTF_8);
     }
 
     /** Where a balancer's state is kept. Lasting is whether it has to outlive the machine. */
-    public static Store store(Path folder, String name, boolean lasting) {
+    public static Store store(Path folder, String name, boolean lasting, ClockOrigin clock) {
         return new Store(new FolderDisk(folder), file(name) + ".state", lasting,
-                said -> LOG.log(System.Logger.Level.WARNING, "{0}", said));
+                said -> LOG.log(System.Logger.Level.WARNING, "{0}", said), clock);
     }
 
     /** In this folder, which both processes see; name tells this balancer from others there. */
@@ -108,25 +116,42 @@
         this.eventLoop = eventLoop;
         this.listener = listener;
         this.name = name;
-        String file = file(name);
-        store = store(folder, name, lasting);
+        clock = ClockOrigin.here(eventLoop.now());
+        lockFile = folder.resolve(file(name) + ".lock");
+        store = store(folder, name, lasting, clock);
         try {
-            locks = FileChannel.open(folder.resolve(file + ".lock"), StandardOpenOption.CREATE, StandardOpenOption.READ,
-                    StandardOpenOption.WRITE);
-            // Danger: two that start at once would take one place.
-            try (FileLock writing = locks.lock(WRITING, 1, false)) {
-                place = firstFree();
-                locks.lock(place, 1, false);
-            }
+            openLocks();
         } catch (IOException e) {
-            LOG.log(System.Logger.Level.WARNING, "no handover, nothing is shared: {0}", e.toString());
-            locks = null;
+            LOG.log(System.Logger.Level.WARNING, "nothing is shared or kept for now; tried again: {0}", e.toString());
         }
         another = locks != null && place > 0 && held(0, place);
         otherOpen = another;
         take(store.load());
     }
 
+    private void openLocks() throws IOException {
+        FileChannel channel = FileChannel.open(lockFile, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        locks = channel;
+        // Guards against: two that start at once would take one place.
+        try (FileLock writing = locks.lock(WRITING, 1, false)) {
+            place = firstFree();
+            locks.lock(place, 1, false);
+        } catch (IOException e) {
+            locks = null;
+            channel.close();
+            throw e;
+        }
+    }
+
+    /** Runs a periodic task. Guards against: the scheduler ends a task for good, without a line, at its first exception. */
+    private static void guarded(String task, Runnable run) {
+        try {
+            run.run();
+        } catch (RuntimeException | Error e) {
+            LOG.log(System.Logger.Level.ERROR, "task failed, goes on: " + task, e);
+        }
+    }
+
     /** From now on the list and what was learnt are kept too, for a process that starts when this one has gone. */
     public void keep(long number) {
         thread.execute(() -> incarnation = Math.max(incarnation, number));
@@ -136,7 +161,7 @@
             State.Listed held = listener.listed();
             double[][] rows = listener.learnt();
             long now = eventLoop.now();
-            thread.execute(() -> keep(held, rows, now));
+            thread.execute(() -> guarded("keep", () -> keep(held, rows, now)));
         }), first, KEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -201,11 +226,12 @@
     /** Looks after the other process from now on. */
     public void start() {
         beginning = true;
-        thread.scheduleWithFixedDelay(this::look, 0, LOOK_MS, TimeUnit.MILLISECONDS);
+        thread.scheduleWithFixedDelay(() -> guarded("look", this::look), 0, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** This process takes in clients by now. */
     public void open() {
+        ready = true;
         if (locks != null) {
             try {
                 opened = locks.lock(place + 1, 1, false);
@@ -217,6 +243,7 @@
 
     /** This process takes in none any more. */
     public void close() {
+        ready = false;
         try {
             if (opened != null) {
                 opened.release();
@@ -227,9 +254,12 @@
     }
 
     private void look() {
-        if (locks == null) {
+        if (locks == null && !openedLater()) {
             return;
         }
+        if (unkept) {
+            write(() -> { });
+        }
         boolean before = another;
         boolean later = held(place + 2, END);
         boolean openBefore = otherOpen;
@@ -258,6 +288,20 @@
         }
     }
 
+    /** A folder that could not be had at the start may be by now. */
+    private boolean openedLater() {
+        try {
+            openLocks();
+            LOG.log(System.Logger.Level.INFO, "shared and kept from now on");
+            if (ready) {
+                open();
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private boolean anyOpen(long from, long to) {
         for (long p = from; p < to; p += 2) {
             if (held(p + 1, p + 2)) {
@@ -295,14 +339,39 @@
         });
     }
 
-    /** Danger: the yes to an operator must hold over a kill of this process; it is said once the file is there. */
-    public void said(String upstream, long back, Runnable then) {
+    /**
+     * Keeps what an operator said, and then tells whether it is on the disk. Guards against: a yes that a kill of this process undoes.
+     * What is not on the disk is written again until it is. Of what is said of an upstream the later word counts, whichever process it was
+     * said to and however their clocks differ.
+     */
+    public void said(String upstream, long back, Consumer<Boolean> then) {
         long now = eventLoop.now();
         thread.execute(() -> {
-            known.put(upstream, new State.Ban(back, now));
-            write(() -> { });
-            eventLoop.execute(then);
+            unkept = true;
+            if (!write(() -> put(upstream, back, now))) {
+                put(upstream, back, now);
+            }
             tellAll();
+            boolean kept = !unkept;
+            eventLoop.execute(() -> then.accept(kept));
+        });
+    }
+
+    private void put(String upstream, long back, long now) {
+        State.Ban before = known.get(upstream);
+        if (before == null || before.back() != back) {
+            known.put(upstream, new State.Ban(back, before == null ? now : Math.max(now, before.said() + 1)));
+        }
+    }
+
+    /** Whether all that was said by hand is on the disk, after one more try where it is not. */
+    public void kept(Consumer<Boolean> then) {
+        thread.execute(() -> {
+            if (unkept) {
+                write(() -> { });
+            }
+            boolean kept = !unkept;
+            eventLoop.execute(() -> then.accept(kept));
         });
     }
 
@@ -314,18 +383,24 @@
         });
     }
 
-    /** Under the lock: what others wrote is taken first, then this process's own is put beside it. */
-    private void write(Runnable own) {
+    /** Under the lock: what others wrote is taken first, then this process's own is put beside it. Whether it is on the disk. */
+    private boolean write(Runnable own) {
         if (locks == null) {
-            return;
+            return false;
         }
         try (FileLock writing = locks.lock(WRITING, 1, false)) {
             load();
             own.run();
             known.values().removeIf(ban -> ban.back() != OUT && ban.back() < eventLoop.now() - FORGET);
-            store.save(new State(name, incarnation, eventLoop.now(), known, learnt, learntAt, listed));
+            store.save(new State(name, incarnation, eventLoop.now(), known, learnt, learntAt, listed, clock));
+            unkept = false;
+            return true;
         } catch (IOException e) {
             LOG.log(System.Logger.Level.DEBUG, "not kept: {0}", e.toString()); // the store has said so once
+            return false;
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.WARNING, "not kept, tried again", e);
+            return false;
         }
     }
 
@@ -349,7 +424,9 @@
         }
         known.forEach((upstream, ban) -> {
             if (!before.containsKey(upstream) || before.get(upstream).back() != ban.back()) {
-                eventLoop.execute(() -> listener.maintenance(upstream, ban.back()));
+                // Guards against: a time ahead of this clock; an upstream called back then would count as cold until it comes.
+                long back = ban.back() == OUT ? OUT : Math.min(ban.back(), eventLoop.now());
+                eventLoop.execute(() -> listener.maintenance(upstream, back));
             }
         });
         if (found.learntAt() > learntAt) {
--- a/balancer/src/main/java/gorsestack/operate/Management.java
+++ b/balancer/src/main/java/gorsestack/operate/Management.java
@@ -136,14 +136,19 @@
         if (!isOut && !balancer.knows(id)) {
             answer.accept(Answer.own(404, "", "no such upstream"));
         } else if (out == isOut) {
-            answer.accept(say(true, out ? "out already" : "was not out"));
+            handover.kept(kept -> answer.accept(acknowledged(kept, out ? "out already" : "was not out")));
         } else {
             long back = out ? Handover.OUT : eventLoop.now();
             told(id, back);
-            handover.said(id, back, () -> answer.accept(say(true, out ? "out" : "back")));
+            handover.said(id, back, kept -> answer.accept(acknowledged(kept, out ? "out" : "back")));
         }
     }
 
+    /** A yes that a restart would undo is none; the word holds in this process meanwhile, and writing it is tried again. */
+    private static Answer acknowledged(boolean kept, String text) {
+        return say(kept, kept ? text : text + ", but not kept yet: a restart would forget it; writing is tried again, ask again");
+    }
+
     /** One connection of an operator's. Danger: callers that say nothing, or half a call, and stay. */
     private final class Caller implements ConnectionHandler {
         private final HttpParser parser = HttpParser.request(limits);
@@ -188,8 +193,7 @@
         private void answer(Answer answer) {
             heard = true;
             channel.write(answer.bytes(true));
-            // Danger: closing at once on what a caller still sends resets the connection under its answer.
-            eventLoop.at(eventLoop.now() + limits.linger(), channel::close);
+            channel.finish();
         }
 
         @Override
--- a/balancer/src/main/java/gorsestack/recovery/State.java
+++ b/balancer/src/main/java/gorsestack/recovery/State.java
@@ -6,7 +6,12 @@
 
 /** What a balancer keeps for its next process. Times in nanoseconds from 1970, as told by the clock of the process that wrote them. */
 public record State(String name, long incarnation, long written, Map<String, Ban> bans, List<double[]> learnt, long learntAt,
-        Listed listed) {
+        Listed listed, ClockOrigin clock) {
+
+    /** Of a clock of which nothing is known. */
+    public State(String name, long incarnation, long written, Map<String, Ban> bans, List<double[]> learnt, long learntAt, Listed listed) {
+        this(name, incarnation, written, bans, learnt, learntAt, listed, ClockOrigin.UNKNOWN);
+    }
 
     /** Called back never, so far. */
     public static final long OUT = Long.MAX_VALUE;
@@ -31,6 +36,19 @@
     }
 
     public State with(Map<String, Ban> other) {
-        return new State(name, incarnation, written, other, learnt, learntAt, listed);
+        return new State(name, incarnation, written, other, learnt, learntAt, listed, clock);
+    }
+
+    /** The same with its times on another clock, as far as the two can be compared. */
+    State on(ClockOrigin other) {
+        long shift = other.shiftFrom(clock);
+        if (shift == 0) {
+            return this;
+        }
+        Map<String, Ban> shifted = new TreeMap<>();
+        bans.forEach((upstream, ban) -> shifted.put(upstream, new Ban(ban.back == OUT ? OUT : ban.back + shift, ban.said + shift)));
+        Listed list = listed == null ? null : new Listed(listed.index, listed.discovery, listed.confirmed + shift, listed.members);
+        return new State(name, incarnation, written == 0 ? 0 : written + shift, shifted, learnt, learntAt == 0 ? 0 : learntAt + shift, list,
+                other);
     }
 }
--- a/balancer/src/main/java/gorsestack/recovery/StateForm.java
+++ b/balancer/src/main/java/gorsestack/recovery/StateForm.java
@@ -32,7 +32,8 @@
     public static String write(State state) {
         StringBuilder text = new StringBuilder(HEAD).append(VERSION).append('\n');
         int lines = 0;
-        lines += line(text, object("from").put("name", state.name()).put("incarnation", state.incarnation()).put("written", state.written()));
+        lines += line(text, object("from").put("name", state.name()).put("incarnation", state.incarnation()).put("written", state.written())
+                .put("boot", state.clock().boot()).put("clock", state.clock().offset()));
         for (Map.Entry<String, State.Ban> ban : new TreeMap<>(state.bans()).entrySet()) {
             ObjectNode node = object("ban").put("upstream", ban.getKey()).put("said", ban.getValue().said());
             if (ban.getValue().back() != State.OUT) {
@@ -112,11 +113,11 @@
         boolean whole = c.ended && c.damaged == 0 && lines[lines.length - 1].isEmpty();
         if (version > VERSION) {
             // A ban is a ban in any version; of the rest nobody here knows what it means by then.
-            return new Read(State.NONE.with(c.bans), false, "it is of version " + version + ", later than " + VERSION
+            return new Read(c.bansAlone(), false, "it is of version " + version + ", later than " + VERSION
                     + "; taken are " + c.bans.size() + " bans");
         }
         if (!whole) {
-            return new Read(State.NONE.with(c.bans), false, (c.damaged > 0 ? c.damaged + " lines are damaged" : "it is cut short")
+            return new Read(c.bansAlone(), false, (c.damaged > 0 ? c.damaged + " lines are damaged" : "it is cut short")
                     + "; taken are " + c.bans.size() + " bans");
         }
         return new Read(c.state(), true, "");
@@ -151,6 +152,7 @@
         private long incarnation;
         private long written;
         private long learntAt;
+        private ClockOrigin clock = ClockOrigin.UNKNOWN;
         private JsonNode list;
         private int good;
         private int damaged;
@@ -168,6 +170,7 @@
                     name = node.path("name").asText();
                     incarnation = node.path("incarnation").asLong();
                     written = node.path("written").asLong();
+                    clock = new ClockOrigin(node.path("boot").asText(""), node.path("clock").asLong());
                 }
                 case "ban" -> bans.put(node.path("upstream").asText(), new State.Ban(node.path("back").asLong(State.OUT),
                         node.path("said").asLong()));
@@ -200,7 +203,12 @@
         State state() {
             return new State(name, incarnation, written, bans, learnt, learntAt, list == null ? null
                     : new State.Listed(list.path("index").asLong(), list.path("discovery").asText(), list.path("confirmed").asLong(),
-                            members));
+                            members), clock);
+        }
+
+        /** Of a copy that is not whole; nothing else of it counts. */
+        State bansAlone() {
+            return new State("", 0, 0, bans, List.of(), 0, null, clock);
         }
     }
 }
--- a/balancer/src/main/java/gorsestack/recovery/Store.java
+++ b/balancer/src/main/java/gorsestack/recovery/Store.java
@@ -20,11 +20,18 @@
     private final String file;
     private final boolean lasting;
     private final Consumer<String> say;
+    private final ClockOrigin clock;
     private byte[] seen = {};
     private boolean failing;
 
     /** Lasting is whether it has to outlive the machine, so that each write waits for the disk. */
     public Store(Disk disk, String file, boolean lasting, Consumer<String> say) {
+        this(disk, file, lasting, say, ClockOrigin.UNKNOWN);
+    }
+
+    /** The same for a process whose clock is known: the times of what is read are on that clock, whichever process wrote them. */
+    public Store(Disk disk, String file, boolean lasting, Consumer<String> say, ClockOrigin clock) {
+        this.clock = clock;
         this.disk = disk;
         this.file = file;
         this.lasting = lasting;
@@ -78,8 +85,8 @@
         State best = State.NONE;
         Map<String, State.Ban> bans = Map.of();
         for (StateForm.Read read : copies) {
-            bans = State.merged(bans, read.state().bans());
-            State s = read.state();
+            State s = read.state().on(clock);
+            bans = State.merged(bans, s.bans());
             if (read.whole() && (s.incarnation() > best.incarnation()
                     || s.incarnation() == best.incarnation() && s.written() > best.written())) {
                 best = s;
--- a/balancer/src/main/java/gorsestack/serve/Service.java
+++ b/balancer/src/main/java/gorsestack/serve/Service.java
@@ -5,6 +5,7 @@
 import gorsestack.operate.Handover;
 import gorsestack.operate.Management;
 import gorsestack.recovery.Brake;
+import gorsestack.recovery.ClockOrigin;
 import gorsestack.recovery.Restore;
 import gorsestack.recovery.Returning;
 import gorsestack.recovery.State;
@@ -214,7 +215,7 @@
         } catch (IOException e) {
             LOG.log(System.Logger.Level.WARNING, "no state is kept: {0}", e.toString());
         }
-        Restore.Restored found = Restore.of(Handover.store(configuration.state(), name(), true).load(), name(), eventLoop.now(),
+        Restore.Restored found = Restore.of(Handover.store(configuration.state(), name(), true, ClockOrigin.here(eventLoop.now())).load(), name(), eventLoop.now(),
                 Catalog.text(configuration.discovery()), configuration.known().index(), configuration.settings().rules().cold());
         found.said().forEach(said -> LOG.log(System.Logger.Level.WARNING, "{0}", said));
         LOG.log(System.Logger.Level.INFO, "incarnation {0}; kept were {1}, {2} bans, {3} groups'' figures", Long.toString(found.incarnation()),
