Signals ignored at the start are told, and a reload is had without SIGHUP; calls are traced at run time

Cause: a JVM keeps a signal ignored where whoever started it does (nohup, some supervisors), and says nothing: no reload was ever read. PUT /trace/on and /trace/off on the operators' listener log each step of each call as key=value: taken, attempt, written, outcome, answer, client_gone, closed with its reason.

--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -92,7 +92,7 @@
                     timer.run();
                 }
                 call.out--;
-                trace("{0} attempt {1} over: {2}", call.id, number, outcome);
+                trace("call={0} event=outcome attempt={1} outcome={2}", call.id, number, outcome);
                 policy.outcome(tick(), call.id, number, outcome, now - at, call.ended);
                 forgetIfOver(call);
             }
@@ -138,8 +138,10 @@
         }
     }
 
-    /** Whether the story of each call is told; asked once, as the hot path has no time for it. */
-    private final boolean traced = LOG.isLoggable(System.Logger.Level.DEBUG);
+    /** Whether each step of each call is logged; a field, as the hot path has no time to ask the logger. */
+    private boolean traced = LOG.isLoggable(System.Logger.Level.DEBUG);
+    private System.Logger.Level traceLevel = System.Logger.Level.DEBUG;
+    private List<String> ignoredSignals = List.of();
     private final EventLoop eventLoop;
     private final Limits limits;
     private final Flow flow;
@@ -223,7 +225,7 @@
         // A call's time counts from its last byte.
         long left = request.upload() != null ? Long.MAX_VALUE : timeLeft(c, arrivedAt);
         recovery.asked(now, request.again());
-        trace("{0} taken: {1}, {2} ms left", c.id, request.product(), left / 1_000_000);
+        trace("call={0} event=taken product={1} left_ms={2} connection={3}", c.id, request.product(), left / 1_000_000, from.number());
         policy.apiCall(tick(), c.id, request.product(), null, left);
     }
 
@@ -292,7 +294,7 @@
         if (c != null && !c.ended) {
             c.left = true;
             c.end(eventLoop);
-            trace("{0} given up by its client", c.id);
+            trace("call={0} event=client_gone connection={1}", c.id, from.number());
             policy.clientGone(tick(), c.id);
             withdrawUnsent(c);
             forgetIfOver(c);
@@ -351,7 +353,8 @@
         }
         s.connection = pool.take(upstream,
                 repeat(c.request.product()) != Settings.Repeat.NON_IDEMPOTENT);
-        trace("{0} attempt {1} to {2}", c.id, s.number, upstream);
+        trace("call={0} event=attempt attempt={1} upstream={2} connection={3}", c.id, s.number, upstream,
+                s.connection == null ? "none" : s.connection.connecting() ? "new" : "kept");
         if (s.connection == null) {
             invariants.refused(Refusal.NO_CONNECTION);
             notSent++;
@@ -368,6 +371,7 @@
     /** After the fact: whether what went out kept the rules. */
     private void checkSent(Attempt s, long began) {
         Call c = s.call;
+        trace("call={0} event=written attempt={1}", c.id, s.number);
         String broken = SentCheck.sending(began, s.until, s.sendBy, c.ended ? c.endedAt : Long.MAX_VALUE, c.left,
                 pool.notifiedAt(s.upstream), limits.drainGrace());
         if (broken != null) {
@@ -440,7 +444,7 @@
         if (!c.ended) {
             c.end(eventLoop);
             recovery.answered(answer.status() == 200);
-            trace("{0} answered {1}", c.id, answer.status());
+            trace("call={0} event=answer status={1}", c.id, answer.status());
             byClient.remove(c.client);
             c.client.answer(answer);
             forgetIfOver(c);
@@ -491,10 +495,22 @@
     /** Of one call, at a level that is off unless asked for. */
     private void trace(String what, Object... of) {
         if (traced) {
-            LOG.log(System.Logger.Level.DEBUG, what, of);
+            LOG.log(traceLevel, what, of);
         }
     }
 
+    /** Logs each step of each call from now on, or no longer. */
+    @Override
+    public void trace(boolean on) {
+        traced = on;
+        traceLevel = System.Logger.Level.INFO;
+    }
+
+    /** Signals that whoever started this process ignores; before the status is asked for. */
+    public void ignoredSignals(List<String> names) {
+        ignoredSignals = names;
+    }
+
     private void forgetIfOver(Call c) {
         if (c.ended && c.out == 0) {
             calls.remove(c.id, c);
@@ -516,6 +532,7 @@
     @Override
     public void ended(ClientConnection from, CloseReason reason, boolean owes) {
         invariants.closed(reason);
+        trace("event=closed connection={0} reason={1} owes={2}", from.number(), reason, owes);
         // One that takes nothing of its answer has had all that it will take.
         if (owes && reason != CloseReason.CLIENT_GONE && reason != CloseReason.STALLED) {
             invariants.violated(Rule.CLOSE, "", reason.name().toLowerCase(Locale.ROOT));
@@ -614,6 +631,7 @@
     public ObjectNode status() {
         ObjectNode status = new ObjectMapper().createObjectNode();
         status.put("ready", ready()).put("callsHeld", byClient.size()).put("clientConnections", clients.size());
+        ignoredSignals.forEach(status.putArray("ignoredSignals")::add);
         ObjectNode counters = status.putObject("invariants");
         invariants.report(counters::put);
         recovery.status(status);
--- a/balancer/src/main/java/gorsestack/operate/Management.java
+++ b/balancer/src/main/java/gorsestack/operate/Management.java
@@ -34,6 +34,9 @@
             return null;
         }
 
+        /** Logs each step of each call from now on, or no longer. */
+        default void trace(boolean on) { }
+
         /** Sends clients away, or takes them in again. */
         void away(boolean away);
     }
@@ -89,14 +92,20 @@
             answer.accept(Answer.own(200, "", status.toString()));
             return;
         }
+        boolean trace = target.equals("/trace/on") || target.equals("/trace/off");
         boolean health = target.equals("/healthcheck/fail") || target.equals("/healthcheck/ok");
         String[] parts = target.split("/", -1);
         boolean upstream = parts.length == 4 && parts[0].isEmpty() && parts[1].equals("upstreams")
                 && (parts[3].equals("maint") || parts[3].equals("ready"));
-        if (!health && !upstream) {
+        if (!health && !upstream && !trace) {
             answer.accept(Answer.own(404, "", "no such call"));
         } else if (!put) {
             answer.accept(Answer.own(405, "Allow: PUT\r\n", "PUT does this"));
+        } else if (trace) {
+            boolean on = target.endsWith("/on");
+            LOG.log(System.Logger.Level.INFO, on ? "calls are traced" : "calls are traced no longer");
+            balancer.trace(on);
+            answer.accept(say(true, on ? "calls are traced" : "calls are traced no longer"));
         } else if (health) {
             boolean away = target.endsWith("/fail");
             LOG.log(System.Logger.Level.INFO, away ? "clients are sent away" : "clients are taken in again");
--- a/balancer/src/main/java/gorsestack/serve/Service.java
+++ b/balancer/src/main/java/gorsestack/serve/Service.java
@@ -22,7 +22,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import sun.misc.Signal;
 import sun.misc.SignalHandler;
 
 /** One real balancer: starts it, reads its configuration again at SIGHUP, and ends it at SIGTERM. */
@@ -30,6 +29,9 @@
     private static final System.Logger LOG = System.getLogger("gorsestack.service");
 
     private final Path file;
+    private final Signals signals = new Signals();
+    private boolean watchesFile;
+    private final long beganAt = System.nanoTime();
     private final Configuration configuration;
     private final EventLoop eventLoop = new EventLoopThread();
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -47,7 +49,14 @@
     private Service(Path file) throws IOException {
         this.file = file;
         handleSignals();
+        byte[] seen = watchesFile ? Files.readAllBytes(file) : null;
         configuration = Configuration.read(file, System.getenv());
+        // A configuration that makes no sense ends the start with one line, so nothing is said before.
+        stage("configuration");
+        signals.report();
+        if (watchesFile) {
+            watchFile(seen);
+        }
         network = new MinaNetwork(configuration.limits(), eventLoop, configuration.mgmt() != null);
     }
 
@@ -57,11 +66,11 @@
     }
 
     /**
-     * Danger: the JVM's own answer to SIGHUP is to end, and to SIGTERM to close its log first; both may come during the start. What
+     * Guards against: the JVM's own answer to SIGHUP is to end, and to SIGTERM to close its log first; both may come during the start. What
      * they ask is done once there is a balancer to do it with; a second SIGTERM asks for nothing more.
      */
     private void handleSignals() {
-        Signal.handle(new Signal("HUP"), signal -> {
+        boolean reloads = signals.handle("HUP", signal -> {
             if (started()) {
                 reload();
             }
@@ -71,8 +80,19 @@
                 end();
             }
         };
-        Signal.handle(new Signal("TERM"), end);
-        Signal.handle(new Signal("INT"), end);
+        signals.handle("TERM", end);
+        signals.handle("INT", end);
+        watchesFile = !reloads && Files.isRegularFile(file);
+    }
+
+    /** Without SIGHUP a reload would be lost, so the file is looked at for a change. */
+    private void watchFile(byte[] seen) {
+        LOG.log(System.Logger.Level.WARNING, "{0} is looked at for a change every {1} ms, as SIGHUP cannot be had", file, FileWatch.INTERVAL_MS);
+        new FileWatch(file, seen, () -> {
+            if (started()) {
+                reload();
+            }
+        }).start();
     }
 
     private boolean started() {
@@ -85,6 +105,11 @@
         }
     }
 
+    /** Tells how far the start has come, so that one that ends early shows where. */
+    private void stage(String stage) {
+        LOG.log(System.Logger.Level.INFO, "start stage={0} after_ms={1}", stage, (System.nanoTime() - beganAt) / 1_000_000);
+    }
+
     private void start() throws IOException {
         Limits limits = configuration.limits();
         Restore.Restored restored = configuration.state() == null ? null : restored();
@@ -187,13 +212,17 @@
                 }
             });
         }
+        calls.ignoredSignals(signals.ignored());
         startedTo.countDown();
+        stage("balancer");
         // Danger: beside another process the system deals clients out to both as soon as this one listens, cold as it is.
         if (!besideAnother) {
             network.listen(configuration.listen(), () -> new ClientConnection(limits, eventLoop, calls));
         }
+        stage("listening");
         WarmUp.calls(limits, configuration.settings(), limits.warmUp());
         WarmUp.sockets(network, eventLoop, besideAnother ? configuration.mgmt() : configuration.listen(), limits.warmUp());
+        stage("warm");
         if (besideAnother) {
             network.listen(configuration.listen(), () -> new ClientConnection(limits, eventLoop, calls));
         }
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -52,6 +52,10 @@
     private static final System.Logger LOG = System.getLogger("gorsestack.client");
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
+    private static long opened;
+
+    /** Of this process, in the order they were opened; for the log. */
+    private long number;
     private final Limits limits;
     private final Intake intake;
     private final EventLoop eventLoop;
@@ -98,8 +102,9 @@
     }
 
     @Override
-    public void opened(Channel opened) {
-        channel = opened;
+    public void opened(Channel openedBy) {
+        channel = openedBy;
+        number = ++opened; // the event loop's thread alone opens
         openedAt = eventLoop.now();
         begunAt = openedAt;
         idleSince = openedAt;
@@ -480,6 +485,11 @@
         return !closed && channel.open();
     }
 
+    /** Its number among this process's connections of clients. */
+    public long number() {
+        return number;
+    }
+
     /** Whether it has asked something, so that no first request is on its way. */
     public boolean served() {
         return served;
--- a/balancer/src/test/java/gorsestack/serve/ProcessEndTest.java
+++ b/balancer/src/test/java/gorsestack/serve/ProcessEndTest.java
@@ -49,8 +49,12 @@
     }
 
     private Process run(Path config) throws IOException {
-        // Danger: a JVM keeps SIGHUP ignored where whoever started it does, as under nohup; then no reload can be asked for.
-        ProcessBuilder run = new ProcessBuilder("env", "--default-signal=HUP",
+        // A JVM keeps SIGHUP ignored where whoever started it does, as under nohup.
+        return run(config, "--default-signal=HUP");
+    }
+
+    private Process run(Path config, String signals) throws IOException {
+        ProcessBuilder run = new ProcessBuilder("env", signals,
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
                 "-cp", System.getProperty("java.class.path"), "gorsestack.Main", "serve");
         run.environment().put("ROUTER_CONFIG", config.toString());
@@ -99,6 +103,31 @@
         assertTrue(process.isAlive());
     }
 
+    /** Each signal ignored by whoever starts the process: it says so, and a reload is had by a change of the file. */
+    @Test
+    void saysWhichSignalsItCannotHaveAndReloadsWithoutSighup() throws Exception {
+        for (String name : new String[] {"HUP", "TERM", "INT"}) {
+            Path file = folder.resolve("config-" + name + ".json");
+            String text = configuration();
+            Files.writeString(file, text);
+            Files.writeString(folder.resolve("log"), "");
+            Process process = run(file, "--ignore-signal=" + name);
+            until("SIG" + name + " is ignored by whoever started this process");
+            until("is ready on");
+            if (name.equals("HUP")) {
+                Files.writeString(file, "{");
+                until("configuration not taken");
+                Files.writeString(file, text.replaceFirst("\"discovery\" *: *\"[^\"]*\"", "\"discovery\": \"127.0.0.1:9\""));
+                until("configuration read again; discovery is /127.0.0.1:9");
+                signal(process, "HUP");
+            }
+            signal(process, name.equals("TERM") ? "INT" : "TERM");
+            assertTrue(process.waitFor(30, TimeUnit.SECONDS), log());
+            assertEquals(0, process.exitValue(), log());
+            upstream.close();
+        }
+    }
+
     /** It does not listen any more after that, and ends by itself. */
     @Test
     void anEndAskedForDuringTheStartIsDoneAfterIt() throws Exception {
