Starts of upstreams are moved onto the monotonic clock once, as they are first heard

Cause: since_ms of discovery was compared with a clock that reads the wall clock once, at the start of the process. Set back by an hour later on, a restarted upstream looked warm at once (slow start overfilled); set ahead, it looked cold for an hour and had no turn, as its age was below nought; a whole list after a step would have been restarts of all. Change: StartTimes takes the lesser age by the monotonic and by the wall clock, no age that a followed list rules out, and keeps it for as long as the same start is told. A restart with an earlier time is one too (Pool compared by less-than).

--- a/balancer/src/main/java/gorsestack/decision/Upstreams.java
+++ b/balancer/src/main/java/gorsestack/decision/Upstreams.java
@@ -20,6 +20,11 @@
     public record Entry(String id, State state, long startedAt, int cell, double weight, String kind,
             String zone) {
 
+        /** The same with another start. */
+        public Entry startedAt(long at) {
+            return new Entry(id, state, at, cell, weight, kind, zone);
+        }
+
         Entry gone() {
             return new Entry(id, State.GONE, startedAt, cell, weight, kind, zone);
         }
--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -153,6 +153,7 @@
     private final ClientConnections clients;
     private final Recovery recovery;
     private final Invariants invariants = new Invariants();
+    private final StartTimes startTimes;
     private Mail mail;
     private final Map<String, Settings.Product> products = new HashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
@@ -181,6 +182,7 @@
         settings.products().forEach(p -> products.put(p.name(), p));
         reports = new LoadReport(settings.reports().columns());
         policy = new BalancingPolicy(settings.repeatsWithin(limits.wayOut()), seed, tick(), this);
+        startTimes = new StartTimes(settings.rules().cold());
         recovery = new Recovery(eventLoop, limits, policy, this.discovery, this::news);
         eventLoop.at(eventLoop.now() + limits.sweep(), this::sweep);
         if (!settings.asksForList()) {
@@ -314,7 +316,7 @@
     @Override
     public void news(Catalog catalog) {
         recovery.heard(catalog);
-        policy.upstreams(tick(), catalog.news());
+        policy.upstreams(tick(), startTimes.moved(catalog.news(), now, eventLoop.wallClock(), discovery.confirmedAt()));
         pool.news(catalog);
         recovery.takenIn(catalog, now);
     }
--- a/balancer/src/main/java/gorsestack/memory/EventLoopThread.java
+++ b/balancer/src/main/java/gorsestack/memory/EventLoopThread.java
@@ -23,6 +23,11 @@
         return anchor + System.nanoTime();
     }
 
+    @Override
+    public long wallClock() {
+        return System.currentTimeMillis() * 1_000_000;
+    }
+
     @Override
     public void execute(Runnable task) {
         thread.execute(() -> guard(task));
