Pushed lists are heard of within the drain grace once their agent can be reached

Cause: where lists are pushed, what the agent has counts as soon as it can be reached again, whether or not a watch is open; a watch that was refused while it was away was opened again up to 4.75 s later, as where lists are asked for, past a drain grace of 2 s. Change: Limits derives the time between tries from the drain grace where lists are pushed (0.75 s at 2 s), and 0.5 s for a connect. StatesTest, CrossingsTest, ServiceTest pass.

--- a/balancer/src/main/java/gorsestack/settings/Limits.java
+++ b/balancer/src/main/java/gorsestack/settings/Limits.java
@@ -78,6 +78,8 @@
         int sockets = limits.path("sockets").asInt() - 48;
         long connect = (long) (settings.path("limits").path("connectTimeout").asDouble() * MS);
         long idle = (long) (settings.path("limits").path("connIdle").asDouble() * MS);
+        long drainGrace = (long) (settings.path("rules").path("drainGrace").asDouble(2_000) * MS);
+        boolean pushed = settings.path("membershipMode").asText().equals("automatic");
         double longest = 0;
         double slo = 0;
         double leastSlo = Double.MAX_VALUE;
@@ -127,9 +129,12 @@
                 // less the time lost. Silence is two of discovery's periods of 2 s and a part.
                 TOLD - SPREAD - ANSWER - LATE,
                 SPREAD,
-                // A machine that swallows connects; one that is there takes some milliseconds, on a crowded core some tens.
-                1_000 * MS,
-                TOLD - ANSWER - LATE,
+                // A machine that swallows connects; one that is there takes some milliseconds, on a crowded core some tens. An agent that
+                // pushes lists is on this machine.
+                pushed ? SPREAD : 1_000 * MS,
+                // Where lists are pushed, what the agent has counts at once as it can be reached again, and the drain grace is all there is
+                // for being refused, asking again and the answer; nobody else asks that agent.
+                pushed ? Math.max(SPREAD, drainGrace - ANSWER - LATE) : TOLD - ANSWER - LATE,
                 // 4 s after SIGHUP all counts as told: long enough for an answer, short enough to ask again.
                 1_200 * MS,
                 // A client reads its error well within that; a flood of bad ones holds so many connections.
@@ -175,6 +180,6 @@
                 // 50 ms and the module's two steps cover the rest. Nobody counts on an answer that late.
                 25 * MS,
                 // What is sent later than that to one that drains is counted as a violation; decisions do not use it.
-                (long) (settings.path("rules").path("drainGrace").asDouble(2_000) * MS));
+                drainGrace);
     }
 }
--- a/balancer/src/test/java/gorsestack/wire/StatesTest.java
+++ b/balancer/src/test/java/gorsestack/wire/StatesTest.java
@@ -22,7 +22,8 @@
  */
 class StatesTest {
     private static final long MS = 1_000_000;
-    private static final Limits LIMITS = limits();
+    private static final Limits LIMITS = limits("subscribe");
+    private static final Limits PUSHED = limits("automatic");
     /** Hundreds of thousands of watches are lost here. */
     private static final java.util.logging.Logger QUIET = java.util.logging.Logger.getLogger("gorsestack.discovery");
 
@@ -30,10 +31,10 @@
         QUIET.setLevel(java.util.logging.Level.OFF);
     }
 
-    private static Limits limits() {
+    private static Limits limits(String membership) {
         try {
             return Limits.of(new ObjectMapper().readTree("{\"sockets\":1024}"), new ObjectMapper().readTree(
-                    "{\"limits\":{\"connectTimeout\":120,\"connIdle\":30000},\"products\":[{\"clientTimeout\":3000,\"latencySlo\":1000}]}"));
+                    "{\"membershipMode\":\"" + membership + "\",\"limits\":{\"connectTimeout\":120,\"connIdle\":30000},\"products\":[{\"clientTimeout\":3000,\"latencySlo\":1000}]}"));
         } catch (java.io.IOException e) {
             throw new java.io.UncheckedIOException(e);
         }
@@ -519,11 +520,16 @@
      * step there is a call under way or one planned within the bound, never more than two, and news comes only from one that is followed.
      */
     private static String watch(int[] sequence, boolean planted) {
+        return watch(sequence, planted, LIMITS, 6_000);
+    }
+
+    /** The same where news counts as told so long after discovery can be reached, unless a call is under way that may be silent. */
+    private static String watch(int[] sequence, boolean planted, Limits limits, long countsAfter) {
         Loop loop = new Loop();
         Dialler network = new Dialler(loop);
         ArrayDeque<Long> told = new ArrayDeque<>();
         int[] failed = new int[1];
-        Discovery discovery = new Discovery(network, loop, LIMITS, A, 7, new Discovery.Listener() {
+        Discovery discovery = new Discovery(network, loop, limits, A, 7, new Discovery.Listener() {
             @Override
             public void news(Catalog catalog) {
                 told.add(catalog.index());
@@ -583,6 +589,7 @@
         long reachable = loop.now;
         int before = told.size();
         Socket known = network.last();
+        boolean pending = known.open;
         boolean alive = known.up && known.open;
         while (told.size() == before && loop.now < reachable + 20_000 * MS) {
             for (Socket s : List.copyOf(network.dialled)) {
@@ -599,8 +606,9 @@
             loop.pass(10);
         }
         long took = (loop.now - reachable) / MS;
-        // The protocol's 6 s, less what a slow core and the answer itself may take.
-        return told.size() == before || took > (planted ? 100 : 6_000 - 500 - 750 + 20) ? "heard after " + took + " ms, alive " + alive : null;
+        // Less what a slow core and the answer itself may take.
+        long bound = pending ? 6_000 : countsAfter;
+        return told.size() == before || took > (planted ? 100 : bound - 500 - 750 + 20) ? "heard after " + took + " ms, alive " + alive : null;
     }
 
     @Test
@@ -608,4 +616,11 @@
         assertEquals(List.of(), wrong(7, 5, s -> watch(s, false)));
         assertTrue(!wrong(7, 3, s -> watch(s, true)).isEmpty(), "a bound that does not hold is found");
     }
+
+    /** Where lists are pushed, what the agent has counts as soon as it can be reached: only the drain grace is left to hear of it. */
+    @Test
+    void aPushedListIsHeardOfWithinTheDrainGraceOnceItsAgentCanBeReached() {
+        assertEquals(List.of(), wrong(5, 6, s -> watch(s, false, PUSHED, 2_000))); // a move counts 4 s later, see above
+        assertTrue(!wrong(5, 3, s -> watch(s, false, LIMITS, 2_000)).isEmpty(), "lists that are asked for may take longer");
+    }
 }
