Lab: a soak of random troubles that overlap, with a shim for clocks, calls and disks, and shrinking

A failing seed is shrunk by leaving troubles out. The judge also counts attempts begun over 0.1 s after their client left, and what rude clients are owed.

--- a/lab/src/main/java/gorsestack/lab/Main.java
+++ b/lab/src/main/java/gorsestack/lab/Main.java
@@ -8,6 +8,7 @@
 import gorsestack.lab.scenario.BadScenario;
 import gorsestack.lab.scenario.Scenario;
 import gorsestack.lab.scenario.ScenarioReader;
+import gorsestack.lab.soak.Soak;
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
@@ -27,7 +28,7 @@
 /** The lab's command line. */
 @Command(name = "gorsestack-lab", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
         description = "Many processes of the balancer, stand-ins around them, and faults between them.",
-        subcommands = {Main.Play.class, Main.ListAll.class, Main.Check.class, Main.Again.class, Main.Beside.class})
+        subcommands = {Main.Play.class, Main.ListAll.class, Main.Check.class, Main.Again.class, Main.Beside.class, Main.PlaySoak.class})
 public final class Main implements Callable<Integer> {
     private static final int BAD = 2;
     private static final List<String> BUILT_IN = List.of("calm", "restart-70", "restart-all", "restart-dark", "restart-over", "restart-state",
@@ -229,6 +230,57 @@
         }
     }
 
+    @Command(name = "soak", mixinStandardHelpOptions = true, description = "Plays random troubles that overlap, one schedule a seed, and"
+            + " shrinks what fails. Exit code 0 where all pass, 1 where one fails, 3 where none fails and the machine was too busy for one.")
+    static final class PlaySoak implements Callable<Integer> {
+        @Option(names = "--seeds", paramLabel = "A..B", defaultValue = "1..3", description = "one or a range, as 1..20")
+        private String seeds;
+
+        @Option(names = "--minutes", paramLabel = "M", description = "no further seed is begun after so long")
+        private double minutes = 1e6;
+
+        @Option(names = "--balancers", paramLabel = "N", description = "processes, 2 to 40; by default 10")
+        private int balancers = 10;
+
+        @Option(names = "--out", paramLabel = "DIR", description = "where runs are kept; by default lab-results/soak")
+        private Path out = Path.of("lab-results", "soak");
+
+        @Option(names = "--root", paramLabel = "DIR", description = "the repository's root; by default found")
+        private Path root;
+
+        @Option(names = "--run", paramLabel = "COMMAND", description = "what starts a balancer; by default the deploy file's run line")
+        private String run;
+
+        @Override
+        public Integer call() throws Exception {
+            if (!seeds.matches("\\d{1,9}(\\.\\.\\d{1,9})?")) {
+                throw new IOException("--seeds must be a number or a range, as 1..20, not " + seeds);
+            }
+            if (balancers < 2 || balancers > 40) {
+                throw new IOException("--balancers must be from 2 to 40, not " + balancers);
+            }
+            long first = Long.parseLong(seeds.split("\\.\\.")[0]);
+            long last = Long.parseLong(seeds.substring(seeds.lastIndexOf('.') + 1));
+            Path at = root != null ? root.toAbsolutePath() : root();
+            Soak soak = new Soak(new Soak.Plan(at, run != null ? run : command(at), "gorsestack " + version(), out, balancers, System.out));
+            long until = System.nanoTime() + (long) (minutes * 60e9);
+            int played = 0;
+            int failed = 0;
+            int voided = 0;
+            for (long seed = first; seed <= last && System.nanoTime() < until; seed++) {
+                Soak.Outcome outcome = soak.play(seed);
+                played++;
+                failed += outcome.failed() ? 1 : 0;
+                voided += outcome.voided() && !outcome.failed() ? 1 : 0;
+                if (outcome.failed()) {
+                    System.out.println("seed " + seed + " fails with " + outcome.schedule().names() + "; kept in " + outcome.folder());
+                }
+            }
+            System.out.println(played + " seeds played, " + failed + " failed, " + voided + " void");
+            return failed > 0 ? 1 : voided > 0 ? 3 : 0;
+        }
+    }
+
     @Command(name = "report", mixinStandardHelpOptions = true,
             description = "Judges stored runs once more from their records, and writes result.json and report.html anew.")
     static final class Again implements Callable<Integer> {
--- a/lab/src/main/java/gorsestack/lab/judge/Judge.java
+++ b/lab/src/main/java/gorsestack/lab/judge/Judge.java
@@ -21,6 +21,7 @@
 
     /** Time limits on sockets. */
     private static final long SLACK = 50_000_000L;
+    private static final long LEAVE_GRACE = 100_000_000L;
     private static final long FAR = Long.MAX_VALUE / 4;
     /** What a link still holds of before it was whole. */
     private static final long SETTLES = 5_000_000_000L;
@@ -30,6 +31,8 @@
     private final Map<String, Product> products = new HashMap<>();
     private final Map<Integer, List<long[]>> away = new HashMap<>();
     private final Map<Integer, List<long[]>> stopped = new HashMap<>();
+    /** From SIGTERM to the next start: what connects then may be closed unread. */
+    private final Map<Integer, List<long[]>> ending = new HashMap<>();
     private final Map<Integer, List<Long>> starts = new HashMap<>();
     private final Map<String, List<Attempt>> attempts = new HashMap<>();
     public final List<Broken> broken = new ArrayList<>();
@@ -46,7 +49,9 @@
                     starts.computeIfAbsent(p.balancer(), b -> new ArrayList<>()).add(p.at());
                     close(away.get(p.balancer()), p.at());
                     close(stopped.get(p.balancer()), p.at());
+                    close(ending.get(p.balancer()), p.at());
                 }
+                case "term" -> ending.computeIfAbsent(p.balancer(), b -> new ArrayList<>()).add(new long[] {p.at(), FAR});
                 case "stop" -> stopped.computeIfAbsent(p.balancer(), b -> new ArrayList<>()).add(new long[] {p.at(), FAR});
                 case "cont" -> close(stopped.get(p.balancer()), p.at());
                 default -> { }
@@ -66,6 +71,9 @@
         records.tries.forEach(this::answered);
         records.extras.forEach(e -> broken("lost", e.at(), "n" + e.balancer() + " sent more than one answer on the connection of "
                 + e.id()));
+        records.left.forEach(l -> left(l.id(), l.balancer(), l.at(), "clients-rude"));
+        records.tries.stream().filter(t -> t.end().equals("left")).forEach(t -> left(t.id(), t.balancer(), t.ended(), t.party()));
+        records.rude.forEach(this::rude);
         attempts.values().forEach(this::repeated);
         drains();
         records.fell.forEach(f -> broken("cold", f.at(), "u" + f.upstream() + ", cold, was offered " + Math.round(f.offered())
@@ -127,6 +135,25 @@
         }
     }
 
+    /** Rule 1: nothing is begun for a client that has left. */
+    private void left(String id, int balancer, long at, String party) {
+        for (Attempt s : attempts.getOrDefault(id, List.of())) {
+            if (s.balancer() == balancer && s.begun() > at + LEAVE_GRACE + SLACK && !meets(stopped.get(balancer), at, s.begun())
+                    && !faulty(party + ">n" + balancer, at, s.begun()) && !faulty("n" + balancer + ">u" + s.upstream(), at - SETTLES, s.begun())) {
+                broken("lost", s.begun(), "n" + balancer + " sent " + id + " to u" + s.upstream() + " " + (s.begun() - at) / 1_000_000
+                        + " ms after its client had left");
+            }
+        }
+    }
+
+    /** Rule 1: what a client is owed that behaves badly. */
+    private void rude(Records.Rude r) {
+        if (!excused(r.balancer(), r.from(), r.until()) && !meets(ending.get(r.balancer()), r.from(), r.until()) && !faulty("clients-rude>n" + r.balancer(), r.from(), r.until())) {
+            lost++;
+            broken("lost", r.until(), "n" + r.balancer() + ": " + r.id() + " " + r.what());
+        }
+    }
+
     /** Proven not run, as whoever sent the later attempt could know. */
     private static boolean proven(Attempt attempt, long by) {
         return attempt.outcome().equals("unprocessed") && attempt.answered() != Records.NEVER && attempt.answered() <= by;
--- a/lab/src/main/java/gorsestack/lab/judge/Records.java
+++ b/lab/src/main/java/gorsestack/lab/judge/Records.java
@@ -60,6 +60,12 @@
     /** Connections open at upstreams by all, and datagrams, at the end of a second. */
     public record Second(int second, int connections, int opened, long datagrams) { }
 
+    /** A client closed its connection with this call open. */
+    public record Left(String id, int balancer, long at) { }
+
+    /** A client that behaves badly did not get what it is owed all the same. */
+    public record Rude(String id, int balancer, long from, long until, String what) { }
+
     /** How late the lab's own loop was, in microseconds: 50th, 99th percentile, most. */
     public record Lab(long p50, long p99, long most) { }
 
@@ -75,13 +81,15 @@
     public final List<Connect> connects = new ArrayList<>();
     public final List<Second> seconds = new ArrayList<>();
     public final List<Lab> lab = new ArrayList<>();
+    public final List<Left> left = new ArrayList<>();
+    public final List<Rude> rude = new ArrayList<>();
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private Map<String, List<?>> all() {
         return Map.ofEntries(Map.entry("Try", tries), Map.entry("Attempt", attempts), Map.entry("Told", told), Map.entry("Change", changes),
                 Map.entry("ListCall", listCalls), Map.entry("Extra", extras), Map.entry("Process", processes),
-                Map.entry("Happened", faults), Map.entry("Fell", fell), Map.entry("Connect", connects), Map.entry("Second", seconds), Map.entry("Lab", lab));
+                Map.entry("Happened", faults), Map.entry("Fell", fell), Map.entry("Connect", connects), Map.entry("Second", seconds), Map.entry("Lab", lab), Map.entry("Left", left), Map.entry("Rude", rude));
     }
 
     /** One JSON object a line, its kind in "is". */
--- a/lab/src/main/java/gorsestack/lab/process/Balancer.java
+++ b/lab/src/main/java/gorsestack/lab/process/Balancer.java
@@ -1,5 +1,6 @@
 package gorsestack.lab.process;
 
+import gorsestack.lab.shim.Shim;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -61,6 +62,7 @@
         environment.keySet().removeIf(key -> key.startsWith("ROUTER_"));
         environment.putAll(Map.of("RUN", run, "LOG", log().toString(), "ROUTER_CONFIG", config().toString(), "TMPDIR",
                 state().toString()));
+        Shim.prepare(log());
         Process process = builder.redirectError(ProcessBuilder.Redirect.appendTo(log().toFile())).start();
         BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.US_ASCII));
         String first = out.readLine();
--- a/lab/src/main/java/gorsestack/lab/run/Faults.java
+++ b/lab/src/main/java/gorsestack/lab/run/Faults.java
@@ -4,15 +4,21 @@
 import gorsestack.lab.net.Link;
 import gorsestack.lab.process.Fleet;
 import gorsestack.lab.scenario.Scenario.Fault;
+import gorsestack.lab.shim.Shim;
 import gorsestack.lab.standin.Clients;
 import gorsestack.lab.standin.Discovery;
+import gorsestack.lab.standin.RudeClients;
 import gorsestack.lab.standin.Upstream;
+import gorsestack.lab.standin.Upstream.Odd;
 import gorsestack.lab.standin.World;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -29,6 +35,7 @@
     private final Clients clients;
     private final Fleet fleet;
     private final Parties parties;
+    private final RudeClients rude;
     private final long seed;
 
     Faults(World world, Upstream.Fleet upstreams, Discovery discovery, Clients clients, Fleet fleet, long seed) {
@@ -39,6 +46,7 @@
         this.fleet = fleet;
         this.seed = seed;
         parties = new Parties(world, upstreams);
+        rude = new RudeClients(world);
     }
 
     void plan() {
@@ -104,6 +112,16 @@
             case "answer_lost" -> upstreams(whom, lasts, u -> u.loseAnswers(fault.size()), u -> u.loseAnswers(0));
             case "crash" -> spread(fault, numbers(whom), u -> crash(upstreams.all.get(u), fault.restartAfter()));
             case "replace" -> spread(fault, numbers(whom), u -> replace(upstreams.all.get(u)));
+            case "no_length", "cut", "twice", "closes_idle" ->
+                upstreams(whom, lasts, u -> u.odd(Odd.of(fault.kind()), fault.size()), u -> u.odd(Odd.of(fault.kind()), 0));
+            case "rude" -> during(lasts, () -> rude.begin(numbers(whom), fault.size()), rude::stop);
+            case "clock" -> system(whom, log -> Shim.clock(log, fault.size()));
+            case "calls" -> {
+                String[] words = fault.to().split(" ");
+                Shim.Call call = Shim.Call.valueOf(words[0].toUpperCase(Locale.ROOT));
+                system(whom, log -> Shim.fail(log, call, words[1], fault.size()));
+                world.in(lasts, () -> system(whom, log -> Shim.fail(log, call, words[1], 0)));
+            }
             case "burst" -> during(lasts, () -> clients.burst(fault.size()), () -> clients.burst(1));
             case "discovery_down" -> during(lasts, () -> discovery.down(true), () -> discovery.down(false));
             case "discovery_silent" -> during(lasts, () -> discovery.silent(true), () -> discovery.silent(false));
@@ -121,6 +139,20 @@
         world.records.faults.add(new Happened(fault.number(), fault.label(), now, now + lasts, List.copyOf(hit), fault.measured()));
     }
 
+    private interface SystemFault {
+        void of(Path log) throws IOException;
+    }
+
+    private void system(Set<String> whom, SystemFault make) {
+        try {
+            for (int balancer : numbers(whom)) {
+                make.of(fleet.balancers.get(balancer).log());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void during(long lasts, Runnable begin, Runnable end) {
         begin.run();
         world.in(lasts, end);
--- a/lab/src/main/java/gorsestack/lab/run/Run.java
+++ b/lab/src/main/java/gorsestack/lab/run/Run.java
@@ -26,6 +26,8 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.HdrHistogram.Histogram;
@@ -36,6 +38,8 @@
     public record Plan(Scenario scenario, String text, long seed, Path root, String run, Path before, String version, Path out,
             PrintStream progress) { }
 
+    private BiConsumer<Addresses, Fleet> whenReady = (addresses, started) -> { };
+    private Consumer<Fleet> beforeEnd = ending -> { };
     private static final long TICK = 10_000_000L;
 
     /** Danger: a trace for each connection that is cut while it is accepted, written on the loop; seen as 10 ms of delay. */
@@ -71,6 +75,13 @@
         });
     }
 
+    /** Told of the fleet once all are ready, and before they are ended. */
+    public Run watched(BiConsumer<Addresses, Fleet> byStart, Consumer<Fleet> byEnd) {
+        whenReady = byStart;
+        beforeEnd = byEnd;
+        return this;
+    }
+
     public Result play() throws IOException, InterruptedException {
         Problem.clear();
         NETTY.setLevel(Level.OFF);
@@ -166,6 +177,7 @@
         if (s.faults().stream().anyMatch(f -> f.state().equals("older") || f.state().equals("swapped"))) {
             fleet.keepState();
         }
+        whenReady.accept(addresses, fleet);
         on(this::begin);
         long seconds = Math.round(s.seconds());
         for (long second = 1; second <= seconds; second++) {
@@ -183,6 +195,7 @@
             Thread.sleep(50);
         }
         measuring = false;
+        beforeEnd.accept(fleet);
         return null;
     }
 
--- a/lab/src/main/java/gorsestack/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/gorsestack/lab/scenario/ScenarioReader.java
@@ -9,6 +9,7 @@
 import gorsestack.lab.scenario.Scenario.Rules;
 import gorsestack.lab.scenario.Scenario.Tenant;
 import gorsestack.lab.scenario.Scenario.Tier;
+import gorsestack.lab.shim.Shim;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -23,10 +24,13 @@
     static final Set<String> PROCESS = Set.of("kill", "term", "stop", "hup", "start");
     /** Of links between two parties. */
     static final Set<String> LINK = Set.of("drop", "stall", "delay", "reset", "throttle", "loss", "duplicate", "reorder");
-    static final Set<String> UPSTREAM = Set.of("hang", "slow", "errors", "spoil", "crash", "replace", "answer_lost");
+    static final Set<String> UPSTREAM = Set.of("hang", "slow", "errors", "spoil", "crash", "replace", "answer_lost", "no_length", "cut", "twice",
+            "closes_idle");
     static final Set<String> DISCOVERY = Set.of("discovery_down", "discovery_silent", "discovery_slow", "discovery_late",
             "discovery_half_line", "discovery_moves");
-    static final Set<String> LOAD = Set.of("burst");
+    static final Set<String> LOAD = Set.of("burst", "rude");
+    /** Of the system under a balancer's process; where the lab could build its shim. */
+    static final Set<String> SYSTEM = Set.of("clock", "calls");
     private static final double NONE = Double.NaN;
     private static final double ANY = Double.POSITIVE_INFINITY;
 
@@ -149,7 +153,7 @@
 
     private static Fault fault(Section s, int number, double seconds) throws BadScenario {
         List<String> kinds = new ArrayList<>();
-        for (Set<String> some : List.of(PROCESS, LINK, UPSTREAM, DISCOVERY, LOAD)) {
+        for (Set<String> some : List.of(PROCESS, LINK, UPSTREAM, DISCOVERY, LOAD, SYSTEM)) {
             some.stream().sorted().forEach(kinds::add);
         }
         String kind = s.oneOf("kind", null, kinds);
@@ -164,18 +168,20 @@
             at = s.number("at", NONE, 0, seconds);
         }
         boolean link = LINK.contains(kind);
-        boolean needsFrom = link || PROCESS.contains(kind) || UPSTREAM.contains(kind);
+        boolean needsFrom = link || PROCESS.contains(kind) || UPSTREAM.contains(kind) || SYSTEM.contains(kind) || kind.equals("rude");
         String from = needsFrom ? party(s, "from") : "";
-        String to = link ? party(s, "to") : "";
+        String to = link ? party(s, "to") : kind.equals("calls") ? failure(s) : "";
         double size = switch (kind) {
             case "delay" -> s.number("size", NONE, 0, 60_000);
             case "throttle" -> s.number("size", NONE, 1, 1e9);
-            case "slow", "burst", "discovery_slow" -> s.number("size", NONE, 0.01, 1000);
-            case "loss", "duplicate", "reorder", "errors", "spoil", "answer_lost" -> s.number("size", 1, 0, 1);
+            case "slow", "burst", "discovery_slow", "rude" -> s.number("size", NONE, 0.01, 1000);
+            case "loss", "duplicate", "reorder", "errors", "spoil", "answer_lost", "no_length", "cut", "twice", "closes_idle", "calls" -> s.number("size", 1, 0, 1);
+            case "clock" -> s.number("size", NONE, -1e6, 1e6);
             case "discovery_late" -> s.number("size", NONE, 0, 600);
             default -> 0;
         };
-        boolean lasting = !Set.of("kill", "term", "hup", "start", "crash", "replace", "discovery_half_line", "discovery_moves", "reset")
+        boolean lasting = !Set.of("kill", "term", "hup", "start", "crash", "replace", "discovery_half_line", "discovery_moves", "reset",
+                "clock")
                 .contains(kind);
         Fault fault = new Fault(number, kind, at, whenBalancer, whenLog, lasting ? s.number("lasts", NONE, 0.01, 3600) : 0, from, to, size,
                 s.number("restart_after", kind.equals("kill") || kind.equals("term") || kind.equals("crash") ? 0 : -1, -1, 3600),
@@ -185,6 +191,17 @@
         return fault;
     }
 
+    /** Which call of the system fails, and how: accept ENFILE. */
+    private static String failure(Section s) throws BadScenario {
+        String text = s.text("call", null);
+        String[] words = text.split(" ");
+        boolean call = words.length == 2 && java.util.Arrays.stream(Shim.Call.values()).anyMatch(c -> c.name().equalsIgnoreCase(words[0]));
+        if (!call || !Shim.knows(words[1])) {
+            throw s.bad("call", "must be a call and an error, as accept ENFILE, not " + text);
+        }
+        return text;
+    }
+
     /** Who: balancers, upstreams, clients, discovery, all, a name (n3, u12), zone:a, share:0.3, or two of them, balancers@zone:a. */
     private static String party(Section s, String key) throws BadScenario {
         String text = s.text(key, null);
--- /dev/null
+++ b/lab/src/main/java/gorsestack/lab/shim/Shim.java
@@ -0,0 +1,92 @@
+package gorsestack.lab.shim;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Faults of the system for single processes: a library, compiled here, that each process is started with, and a file beside its log that
+ * says what fails. Built only where a C compiler is there.
+ */
+public final class Shim {
+    /** A call that can be made to fail; the order is that of the library. */
+    public enum Call { ACCEPT, SOCKET, CONNECT, READ, WRITE, EPOLL, FILE_WRITE, FSYNC, RENAME }
+
+    /** How a call fails: by its error number on Linux, short, or half done before the process is killed. */
+    private static final Map<String, Integer> ERRORS = Map.ofEntries(Map.entry("EINTR", 4), Map.entry("EIO", 5), Map.entry("EAGAIN", 11),
+            Map.entry("ENOMEM", 12), Map.entry("ENFILE", 23), Map.entry("EMFILE", 24), Map.entry("ENOSPC", 28),
+            Map.entry("EADDRNOTAVAIL", 99), Map.entry("ENETUNREACH", 101), Map.entry("ECONNABORTED", 103), Map.entry("ENOBUFS", 105),
+            Map.entry("ETIMEDOUT", 110), Map.entry("EHOSTUNREACH", 113), Map.entry("SHORT", -1), Map.entry("HALF_AND_DIE", -2));
+
+    private static final int FILE_SIZE = 4096;
+    private static final int FAULTS_AT = 16;
+    private static final int FAULT_SIZE = 8;
+
+    private final Path library;
+
+    private Shim(Path library) {
+        this.library = library;
+    }
+
+    /** Builds the library in a folder; null where there is no compiler. */
+    public static Shim build(Path folder) throws IOException, InterruptedException {
+        Path source = folder.resolve("faults.c");
+        Path library = folder.resolve("faults.so");
+        Files.createDirectories(folder);
+        try (InputStream in = Shim.class.getResourceAsStream("/shim/faults.c")) {
+            Files.write(source, in.readAllBytes());
+        }
+        try {
+            Process compiler = new ProcessBuilder(List.of("cc", "-shared", "-fPIC", "-O1", "-o", library.toString(), source.toString(), "-ldl"))
+                    .redirectErrorStream(true).redirectOutput(folder.resolve("cc.log").toFile()).start();
+            return compiler.waitFor() == 0 ? new Shim(library.toAbsolutePath()) : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /** The command with the library preloaded into what it starts. */
+    public String command(String run) {
+        return "LD_PRELOAD=" + library + " " + run;
+    }
+
+    /** Whether an error is one that a call can be made to fail with. */
+    public static boolean knows(String error) {
+        return ERRORS.containsKey(error);
+    }
+
+    private static Path file(Path log) {
+        return log.resolveSibling(log.getFileName() + ".shim");
+    }
+
+    /** Before a process starts that writes this log: nothing fails yet. */
+    public static void prepare(Path log) throws IOException {
+        Files.write(file(log), new byte[FILE_SIZE]);
+    }
+
+    /** Sets the wall clock of the process off by so many seconds, ahead or back. */
+    public static void clock(Path log, double seconds) throws IOException {
+        write(log, 0, ByteBuffer.allocate(8).order(ByteOrder.LITTLE_ENDIAN).putLong((long) (seconds * 1e9)).flip());
+    }
+
+    /** From now on a share of these calls fails so; 0 for none. */
+    public static void fail(Path log, Call call, String error, double share) throws IOException {
+        write(log, FAULTS_AT + call.ordinal() * FAULT_SIZE, ByteBuffer.allocate(FAULT_SIZE).order(ByteOrder.LITTLE_ENDIAN)
+                .putInt(ERRORS.get(error)).putInt((int) Math.round(share * 1000)).flip());
+    }
+
+    private static void write(Path log, long at, ByteBuffer bytes) throws IOException {
+        if (Files.exists(file(log))) {
+            try (FileChannel out = FileChannel.open(file(log), StandardOpenOption.WRITE)) {
+                out.write(bytes, at);
+            }
+        }
+    }
+}
--- a/lab/src/main/java/gorsestack/lab/standin/Upstream.java
+++ b/lab/src/main/java/gorsestack/lab/standin/Upstream.java
@@ -46,11 +46,29 @@
         }
     }
 
+    /** Ways of answering that a client of HTTP has to live with. */
+    public enum Odd {
+        /** Without a length; the end of the connection is the end of the answer. */
+        NO_LENGTH,
+        /** A part of the answer, then a reset. */
+        CUT,
+        /** The same answer a second time, a moment later. */
+        TWICE,
+        /** The connection is closed right behind the answer, without a word. */
+        CLOSES_IDLE;
+
+        public static Odd of(String kind) {
+            return valueOf(kind.toUpperCase(java.util.Locale.ROOT));
+        }
+    }
+
     public final int number;
     public final int tier;
     public final String zone;
     public final int cell;
     public final long startedAtMs;
+    /** As late as a second answer may come on a connection that rests for 10 ms. */
+    private static final long SECOND_ANSWER = 2_000_000L;
     private final World world;
     private final Tier kind;
     private final Keys keys;
@@ -60,6 +78,7 @@
     private final Caller behind;
     private boolean up = true;
     private boolean draining;
+    private final Map<Odd, Double> odd = new java.util.EnumMap<>(Odd.class);
     private double errors;
     private double spoilt;
     private double lost;
@@ -149,6 +168,11 @@
         spoilt = share;
     }
 
+    /** A share of answers is given in this way. */
+    public void odd(Odd way, double share) {
+        odd.put(way, share);
+    }
+
     public void loseAnswers(double share) {
         lost = share;
     }
@@ -263,12 +287,42 @@
             }
             if (world.random.nextDouble() < spoilt) {
                 record(attempt, "spoilt", true, Records.NEVER);
-                ctx.channel().pipeline().context(HttpServerCodec.class)
-                        .writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 2x0 ?\r\n\u0001\u0002: \r\n\r\n", StandardCharsets.ISO_8859_1));
+                raw(ctx, "HTTP/1.1 2x0 ?\r\n\u0001\u0002: \r\n\r\n");
+                return;
+            }
+            String body = attempt.id() + " " + name();
+            if (drawn(Odd.CUT)) {
+                record(attempt, "cut", true, Records.NEVER);
+                raw(ctx, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + body).addListener(f -> {
+                    ((SocketChannel) ctx.channel()).config().setSoLinger(0);
+                    ctx.close();
+                });
                 return;
             }
-            ChannelFuture written = answer(ctx, HttpResponseStatus.OK, attempt.id() + " " + name(), false);
+            if (drawn(Odd.NO_LENGTH)) {
+                raw(ctx, "HTTP/1.1 200 OK\r\n\r\n" + body).addListener(f -> {
+                    record(attempt, "served", true, f.isSuccess() ? world.now() : Records.NEVER);
+                    ctx.close();
+                });
+                return;
+            }
+            ChannelFuture written = answer(ctx, HttpResponseStatus.OK, body, false);
             written.addListener(f -> record(attempt, "served", true, f.isSuccess() ? world.now() : Records.NEVER));
+            if (drawn(Odd.TWICE)) {
+                world.in(SECOND_ANSWER, () -> raw(ctx, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body));
+            }
+            if (drawn(Odd.CLOSES_IDLE)) {
+                written.addListener(f -> ctx.close());
+            }
+        }
+
+        private boolean drawn(Odd way) {
+            double share = odd.getOrDefault(way, 0.0);
+            return share > 0 && world.random.nextDouble() < share;
+        }
+
+        private ChannelFuture raw(ChannelHandlerContext ctx, String text) {
+            return ctx.channel().pipeline().context(HttpServerCodec.class).writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
         }
 
         @Override
