Failing test: an upstream that is told gone and back in one message cannot be reached

Pool.news takes in all addresses of a message first, then goes through its entries: the earlier entry forgets the address of the later one.

--- a/balancer/src/test/java/gorsestack/memory/CrossingsTest.java
+++ b/balancer/src/test/java/gorsestack/memory/CrossingsTest.java
@@ -140,6 +140,31 @@
         }
     }
 
+    /**
+     * An upstream went and came back before a balancer asked again: one message tells both, in their order, and the later one holds. Found by
+     * the soak (incident 0017): the upstream was ready and had no address, and no attempt could be sent to it for good.
+     */
+    @Test
+    void reachesAnUpstreamThatWentAndCameBackInOneMessage() throws Exception {
+        for (Upstreams.Form form : new Upstreams.Form[] {Upstreams.Form.CHANGES, Upstreams.Form.FULL}) {
+            try (SocketRig rig = new SocketRig(1)) {
+                rig.told("{\"index\":43,\"endpoints\":[" + rig.entry(0, "terminated") + "," + rig.entry(0, "in_service") + "]}", form);
+                Socket client = rig.client();
+                say(client, call("once", "back"));
+                rig.until(() -> rig.dialled.stream().anyMatch(d -> d.sent > 0) || rig.client(0).sent > 0);
+                assertEquals(0, rig.client(0).sent, "turned away");
+                say(attempt(rig, 0), ok("served"));
+                rig.until(() -> rig.client(0).sent == 1);
+                assertTrue(message(client).endsWith("served"));
+                rig.told("{\"index\":44,\"endpoints\":[" + rig.entry(0, "in_service") + "," + rig.entry(0, "terminated") + "]}",
+                        Upstreams.Form.CHANGES);
+                say(client, call("once", "gone"));
+                rig.until(() -> rig.client(0).sent == 2);
+                assertTrue(message(client).startsWith("HTTP/1.1 429 "), "the later one holds");
+            }
+        }
+    }
+
     /**
      * One that was to be closed while it rested and had just asked goes on. Seen with the sockets' thread held up: as long after that as
      * an unread last answer is waited for, the connection was closed under whatever answer was on its way out then.
