What a message tells later of an upstream holds, its address too

Pool.news took all addresses of a message first and then went through its entries, so an upstream told gone and back in one message lost the address that had just been taken; the policy, which goes through the entries in order, held it for ready. Every attempt there was 'not sent' until discovery named it again, which it never does for what has not changed. Change: addresses are taken entry by entry; what a whole list names without an address (one that drains) is not forgotten.

--- a/balancer/src/main/java/gorsestack/memory/Pool.java
+++ b/balancer/src/main/java/gorsestack/memory/Pool.java
@@ -69,18 +69,24 @@
      * kept connections there go; last of all, as what was not sent goes elsewhere at once, by this list.
      */
     void news(Catalog catalog) {
-        catalog.addresses().forEach(this::address);
         if (catalog.news().form() != Upstreams.Form.CHANGES) {
             // A whole list has come: what it does not name is gone for good.
-            List.copyOf(addresses.keySet()).stream().filter(u -> !catalog.addresses().containsKey(u)).forEach(this::forget);
+            Set<String> named = new HashSet<>();
+            catalog.news().entries().forEach(entry -> named.add(entry.id()));
+            List.copyOf(addresses.keySet()).stream().filter(upstream -> !named.contains(upstream)).forEach(this::forget);
         }
-        for (Upstreams.Entry e : catalog.news().entries()) {
-            if (e.state() == Upstreams.State.GONE) {
-                forget(e.id());
-            } else {
-                started(e);
-                drains(e.id(), e.state() != Upstreams.State.READY);
+        // Guards against: one that went and came back, told in one message; what is told later of a name holds.
+        for (Upstreams.Entry entry : catalog.news().entries()) {
+            InetSocketAddress address = catalog.addresses().get(entry.id());
+            if (entry.state() == Upstreams.State.GONE) {
+                forget(entry.id());
+                continue;
             }
+            if (address != null) {
+                address(entry.id(), address);
+            }
+            started(entry);
+            drains(entry.id(), entry.state() != Upstreams.State.READY);
         }
         List<String> now = List.copyOf(refused);
         refused.clear();
