Periodic tasks plan their next run first, and news that is not taken in is asked for again

Change: the next run is planned first; a line that is not taken in has the whole list asked for; the datagrams' thread logs and goes on. A state folder that is no path, and an unchecked fault while a configuration is read again, are one line each.

--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -649,7 +649,9 @@
         policy.learnt(tick(), told);
     }
 
+    /** The next one is planned first: a fault in one of them would end them all. */
     private void sweep() {
+        eventLoop.at(eventLoop.now() + limits.sweep(), this::sweep);
         pool.retire();
         clients.sweep();
         if (notSent + turnedAway > 0) {
@@ -666,6 +668,5 @@
                 pool.drop(s.upstream);
             }
         }
-        eventLoop.at(at + limits.sweep(), this::sweep);
     }
 }
--- a/balancer/src/main/java/gorsestack/memory/ClientConnections.java
+++ b/balancer/src/main/java/gorsestack/memory/ClientConnections.java
@@ -106,8 +106,8 @@
     /** Danger: a client that asks nothing more would never learn that it is sent away. */
     private void emptyWhileAway() {
         if (away) {
-            closeIdle(c -> true);
             eventLoop.at(eventLoop.now() + limits.sweep(), this::emptyWhileAway);
+            closeIdle(c -> true);
         }
     }
 
--- a/balancer/src/main/java/gorsestack/memory/Recovery.java
+++ b/balancer/src/main/java/gorsestack/memory/Recovery.java
@@ -147,6 +147,9 @@
     }
 
     private void ease(long until) {
+        if (eventLoop.now() < until) {
+            eventLoop.at(eventLoop.now() + limits.sweep(), () -> ease(until));
+        }
         double before = level;
         if (mail != null) {
             brake.returned(mail.returned());
@@ -156,9 +159,7 @@
         if (before == 0 && level > 0) {
             LOG.log(System.Logger.Level.INFO, "many have come back at once; who is turned away returns spread");
         }
-        if (eventLoop.now() < until) {
-            eventLoop.at(eventLoop.now() + limits.sweep(), () -> ease(until));
-        } else {
+        if (eventLoop.now() >= until) {
             brake = null;
         }
     }
--- a/balancer/src/main/java/gorsestack/serve/Configuration.java
+++ b/balancer/src/main/java/gorsestack/serve/Configuration.java
@@ -10,6 +10,7 @@
 import gorsestack.wire.Catalog;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -75,7 +76,11 @@
         if (!node.isMissingNode() && (!node.isTextual() || node.asText().isEmpty())) {
             throw new IOException("state must name a folder, not " + node);
         }
-        return node.isMissingNode() ? null : Path.of(node.asText());
+        try {
+            return node.isMissingNode() ? null : Path.of(node.asText());
+        } catch (InvalidPathException e) {
+            throw new IOException("state must name a folder, not " + node);
+        }
     }
 
     private static String told(JsonNode all, Map<String, String> environment, String key) {
--- a/balancer/src/main/java/gorsestack/serve/Service.java
+++ b/balancer/src/main/java/gorsestack/serve/Service.java
@@ -266,9 +266,9 @@
             eventLoop.execute(() -> calls.moveTo(fresh.discovery()));
             LOG.log(System.Logger.Level.INFO, "configuration read again; discovery is {0}{1}", fresh.discovery(),
                     configuration.sameButDiscovery(fresh) ? "" : "; the other changes take effect at the next start");
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             LOG.log(System.Logger.Level.ERROR, "configuration not taken, the old one goes on: {0}",
-                    e.getMessage().lines().findFirst().orElse(""));
+                    String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
     }
 
--- a/balancer/src/main/java/gorsestack/wire/BoundedAcceptor.java
+++ b/balancer/src/main/java/gorsestack/wire/BoundedAcceptor.java
@@ -23,8 +23,8 @@
     /** Between two tries where accept fails (EMFILE, ENFILE, ENOBUFS, ENOMEM) or the bound is reached. */
     private static final long RETRY_MS = 5;
     private static final long AT_BOUND_MS = 1;
-    /** While the listener closes; what is not accepted by then is reset by the system, unread. */
-    private static final int TRIES_AT_CLOSE = 20;
+    /** While the listener closes, for which others wait; what is not accepted by then is reset by the system, unread. */
+    private static final int TRIES_AT_CLOSE = 8;
     private static final long LOG_EVERY_NANOS = 1_000_000_000L;
 
     private volatile int most;
--- a/balancer/src/main/java/gorsestack/wire/Discovery.java
+++ b/balancer/src/main/java/gorsestack/wire/Discovery.java
@@ -192,7 +192,7 @@
                     }
                     index = catalog.index();
                     told = true;
-                    listener.news(catalog);
+                    tell(catalog);
                 }
                 if (told && watch == this) {
                     confirmedAt = heardAt;
@@ -200,6 +200,17 @@
             }
         }
 
+        /** Guards against: news that was not taken in would be lost for good, as only what is newer is asked for. */
+        private void tell(Catalog catalog) throws BadMessage {
+            try {
+                listener.news(catalog);
+            } catch (RuntimeException e) {
+                LOG.log(System.Logger.Level.ERROR, "task failed, the whole list is asked for: news " + catalog.index(), e);
+                index = 0;
+                throw new BadMessage(502, "news that could not be taken in");
+            }
+        }
+
         /** Whether a line ends with this byte, or a list that is indented over several. */
         private boolean ends(byte b) {
             if (quoted) {
--- a/balancer/src/main/java/gorsestack/wire/Peers.java
+++ b/balancer/src/main/java/gorsestack/wire/Peers.java
@@ -23,6 +23,7 @@
     private static final int LONGEST = 256;
     /** Told of and not yet looked at; what comes on top of that is old by the time that it would be. */
     private static final int MOST_WAITING = 64;
+    private static final long RETRY_MS = 1;
 
     private final List<InetSocketAddress> addresses;
     private final int me;
@@ -61,10 +62,22 @@
             } catch (IOException e) {
                 // A datagram refused by a peer that is down comes back as an error here.
                 LOG.log(System.Logger.Level.DEBUG, "no message taken: {0}", e.toString());
+                pause();
+            } catch (RuntimeException e) {
+                LOG.log(System.Logger.Level.ERROR, "task failed, goes on: peers", e);
             }
         }
     }
 
+    /** Guards against: an error that lasts would keep this thread busy for good. */
+    private static void pause() {
+        try {
+            Thread.sleep(RETRY_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Sends one; a peer that there is none of, or that is down, gets none. */
     public void tell(int peer, byte[] message) {
         if (peer >= 0 && peer < addresses.size() && peer != me && message.length <= LONGEST) {
--- a/balancer/src/test/java/gorsestack/wire/StatesTest.java
+++ b/balancer/src/test/java/gorsestack/wire/StatesTest.java
@@ -623,4 +623,38 @@
         assertEquals(List.of(), wrong(5, 6, s -> watch(s, false, PUSHED, 2_000))); // a move counts 4 s later, see above
         assertTrue(!wrong(5, 3, s -> watch(s, false, LIMITS, 2_000)).isEmpty(), "lists that are asked for may take longer");
     }
+
+    /** News that could not be taken in is not passed over: only what is newer would be asked for from then on. */
+    @Test
+    void asksForTheWholeListWhereNewsCouldNotBeTakenIn() {
+        Loop loop = new Loop();
+        Dialler network = new Dialler(loop);
+        Discovery discovery = new Discovery(network, loop, LIMITS, A, 7, new Discovery.Listener() {
+            @Override
+            public void news(Catalog catalog) {
+                throw new IllegalStateException("a planted fault");
+            }
+
+            @Override
+            public void failed() { }
+
+            @Override
+            public double jitter() {
+                return 0.5;
+            }
+        });
+        discovery.watch();
+        Socket first = network.last();
+        first.up = true;
+        first.handler.opened(first);
+        String line = "{\"index\":12,\"snapshot\":false,\"endpoints\":[]}\n";
+        first.handler.received(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(line.length()) + "\r\n" + line
+                + "\r\n").getBytes(StandardCharsets.US_ASCII), loop.now);
+        loop.pass(600);
+        Socket second = network.last();
+        assertTrue(second != first && !first.open, "asked again");
+        second.up = true;
+        second.handler.opened(second);
+        assertTrue(second.out.toString().contains("after=0 "), second.out.toString());
+    }
 }
