--- a/lab/src/main/java/gorsestack/lab/Main.java
+++ b/lab/src/main/java/gorsestack/lab/Main.java
@@ -8,6 +8,7 @@
 import gorsestack.lab.scenario.BadScenario;
 import gorsestack.lab.scenario.Scenario;
 import gorsestack.lab.scenario.ScenarioReader;
+import gorsestack.lab.soak.Schedule;
 import gorsestack.lab.soak.Soak;
 import java.io.File;
 import java.io.IOException;
@@ -262,7 +263,8 @@
             long first = Long.parseLong(seeds.split("\\.\\.")[0]);
             long last = Long.parseLong(seeds.substring(seeds.lastIndexOf('.') + 1));
             Path at = root != null ? root.toAbsolutePath() : root();
-            Soak soak = new Soak(new Soak.Plan(at, run != null ? run : command(at), "gorsestack " + version(), out, balancers, System.out));
+            Soak soak = new Soak(new Soak.Plan(at, run != null ? run : command(at), "gorsestack " + version(), out, balancers, Schedule.RECOVERY, true,
+                    System.out));
             long until = System.nanoTime() + (long) (minutes * 60e9);
             int played = 0;
             int failed = 0;
--- a/lab/src/main/java/gorsestack/lab/soak/Schedule.java
+++ b/lab/src/main/java/gorsestack/lab/soak/Schedule.java
@@ -7,7 +7,7 @@
 import java.util.function.Function;
 
 /** What one seed of the soak plays: a fleet, and two or three troubles that overlap in time. The same seed is the same schedule. */
-public record Schedule(long seed, int balancers, List<Trouble> troubles) {
+public record Schedule(long seed, int balancers, double recovery, List<Trouble> troubles) {
     /** One thing that goes wrong: a name, and the faults of a scenario that make it. */
     public record Trouble(String name, String faults) { }
 
@@ -15,8 +15,8 @@
     private static final double FIRST_AT = 4;
     private static final double APART = 3;
     private static final double LONGEST = 6;
-    /** The longest drain, cold time and state of "told" after the last trouble, then ten seconds in which service has to be full. */
-    private static final double RECOVERY = 26;
+    /** Seconds after the last trouble: for what is told late, for the cold time, and ten in which service has to be full. */
+    public static final double RECOVERY = 26;
     private static final double CALLS_PER_BALANCER = 6;
 
     private static final List<Function<Draw, Trouble>> KINDS = List.of(
@@ -58,7 +58,7 @@
             d -> d.calls("rename", "EIO", "ENOSPC"));
 
     /** That of a seed. */
-    public static Schedule of(long seed, int balancers) {
+    public static Schedule of(long seed, int balancers, double recovery) {
         SplittableRandom random = new SplittableRandom(seed * 0x9e3779b97f4a7c15L + 1);
         int count = 2 + random.nextInt(2);
         List<Trouble> troubles = new ArrayList<>();
@@ -70,14 +70,14 @@
                 troubles.add(KINDS.get(kind).apply(new Draw(random, FIRST_AT + APART * random.nextDouble())));
             }
         }
-        return new Schedule(seed, balancers, troubles);
+        return new Schedule(seed, balancers, recovery, troubles);
     }
 
     /** The same with one trouble left out. */
     public Schedule without(int trouble) {
         List<Trouble> fewer = new ArrayList<>(troubles);
         fewer.remove(trouble);
-        return new Schedule(seed, balancers, fewer);
+        return new Schedule(seed, balancers, recovery, fewer);
     }
 
     public String names() {
@@ -88,7 +88,7 @@
     public String scenario() {
         StringBuilder text = new StringBuilder();
         text.append("name = \"soak-").append(seed).append("\"\nabout = \"").append(names()).append("\"\n");
-        text.append("seconds = ").append(FIRST_AT + APART + LONGEST + RECOVERY).append("\nlead = 2\nsettle = 5\nzones = [\"a\", \"b\"]\n");
+        text.append("seconds = ").append(FIRST_AT + APART + LONGEST + recovery).append("\nlead = 2\nsettle = 5\nzones = [\"a\", \"b\"]\n");
         text.append("[fleet]\nbalancers = ").append(balancers).append("\nmgmt = true\nstate = true\npeers = ").append(seed % 2 == 0)
                 .append("\nsockets = 512\n");
         text.append("[[tiers]]\nupstreams = ").append(8 + seed % 5).append("\ncells = 2\ncalls = 0\n");
--- a/lab/src/main/java/gorsestack/lab/soak/Soak.java
+++ b/lab/src/main/java/gorsestack/lab/soak/Soak.java
@@ -16,8 +16,8 @@
 
 /** Plays seeds one after another against real processes; a seed that fails is shrunk by leaving troubles out. */
 public final class Soak {
-    /** The repository's root, what starts a balancer there, and where runs are kept. */
-    public record Plan(Path root, String run, String version, Path out, int balancers, PrintStream progress) { }
+    /** The repository's root, what starts a balancer there, where runs are kept, and how long service may take to be full again. */
+    public record Plan(Path root, String run, String version, Path out, int balancers, double recovery, boolean shrinks, PrintStream progress) { }
 
     /** How one schedule ended. */
     public record Outcome(Schedule schedule, boolean failed, boolean voided, List<String> wrong, Path folder) { }
@@ -35,8 +35,8 @@
 
     /** Plays a seed, and shrinks it if it fails. */
     public Outcome play(long seed) throws IOException, InterruptedException, BadScenario {
-        Outcome outcome = play(Schedule.of(seed, plan.balancers), "");
-        return outcome.failed ? shrunk(outcome) : outcome;
+        Outcome outcome = play(Schedule.of(seed, plan.balancers, plan.recovery), "");
+        return outcome.failed && plan.shrinks ? shrunk(outcome) : outcome;
     }
 
     private Outcome shrunk(Outcome failing) throws IOException, InterruptedException, BadScenario {
