LinkTest: a connection reset while it comes up is no refusal yet, and no failure

Cause: on a busy machine a connect may still be taken into the backlog of the listener that is just closing; its end resets it, which the JDK tells as 'Connection reset by peer' where the test awaited a refusal. The test is wrong there: what it wants is that connects are refused from some try on, and it goes on trying for that as before.

--- a/lab/src/test/java/gorsestack/lab/net/LinkTest.java
+++ b/lab/src/test/java/gorsestack/lab/net/LinkTest.java
@@ -219,6 +219,9 @@
                 connect(1000).close();
             } catch (java.net.ConnectException e) {
                 refused = true;
+            } catch (java.net.SocketException e) {
+                // Reset while it came up: taken into the backlog of a listener that is just closing, whose end resets it. No refusal yet.
+                assertTrue(e.getMessage().contains("reset"), e.toString());
             }
         }
         assertTrue(refused);
