--- a/balancer/src/main/java/gorsestack/memory/Calls.java
+++ b/balancer/src/main/java/gorsestack/memory/Calls.java
@@ -443,14 +443,18 @@
 
     private void answer(String apiCall, Answer answer) {
         Call c = calls.get(apiCall);
-        if (!c.ended) {
-            c.end(eventLoop);
-            recovery.answered(answer.status() == 200);
-            trace("call={0} event=answer status={1}", c.id, answer.status());
-            byClient.remove(c.client);
-            c.client.answer(answer);
-            forgetIfOver(c);
+        if (c.ended) {
+            if (!c.left) {
+                invariants.violated(Rule.ANSWER, c.id, "second_answer");
+            }
+            return;
         }
+        c.end(eventLoop);
+        recovery.answered(answer.status() == 200);
+        trace("call={0} event=answer status={1}", c.id, answer.status());
+        byClient.remove(c.client);
+        c.client.answer(answer);
+        forgetIfOver(c);
     }
 
     @Override
