The checks after the fact are shown to fire by planted faults

Result: SentCheckTest plants one breach for each reason, CallsTest.countsAConnectionThatEndsOnARequest ends a connection under a request; each is counted, and nothing else is.

--- a/balancer/src/test/java/gorsestack/memory/CallsTest.java
+++ b/balancer/src/test/java/gorsestack/memory/CallsTest.java
@@ -1193,4 +1193,20 @@
         rig.pass(4_000);
         assertTrue(client.open, "back to work");
     }
+
+    /** The check of closes fires on a planted fault: a connection ended by this side with its request unanswered. */
+    @Test
+    void countsAConnectionThatEndsOnARequest() throws IOException {
+        Rig rig = rig(1);
+        Socket client = rig.client();
+        client.say(call("read", "c1"));
+        rig.last().ok("body");
+        answered(200, client);
+        rig.pass(20);
+        assertEquals(0, rig.calls.status().path("invariants").path("violations.close").asInt(-1));
+        client.say(call("read", "c2"));
+        ((ClientConnection) client.handler).drop();
+        rig.drain();
+        assertEquals(1, rig.calls.status().path("invariants").path("violations.close").asInt(-1));
+    }
 }
--- /dev/null
+++ b/balancer/src/test/java/gorsestack/memory/SentCheckTest.java
@@ -0,0 +1,58 @@
+package gorsestack.memory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import gorsestack.decision.Settings.Product;
+import gorsestack.decision.Settings.Repeat;
+import gorsestack.decision.Settings.Scope;
+import gorsestack.decision.Upstreams.Entry;
+import gorsestack.decision.Upstreams.State;
+import org.junit.jupiter.api.Test;
+
+/** Each check after the fact fires on what is planted for it, and on nothing else. */
+class SentCheckTest {
+    private static final long MS = 1_000_000;
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final long GRACE = 2_000 * MS;
+
+    private static String sending(long began, long until, long sendBy, long endedAt, boolean left, long notifiedAt) {
+        return SentCheck.sending(began * MS, until, sendBy, endedAt, left, notifiedAt, GRACE);
+    }
+
+    @Test
+    void findsWhatWasSentAndShouldNotHaveBeen() {
+        assertNull(sending(1_000, NEVER, NEVER, NEVER, false, NEVER));
+        assertEquals("after_final_answer", sending(1_000, NEVER, NEVER, 999 * MS, false, NEVER));
+        assertNull(sending(1_000, NEVER, NEVER, 950 * MS, true, NEVER), "its client left 0.05 s before");
+        assertEquals("client_left", sending(1_000, NEVER, NEVER, 850 * MS, true, NEVER));
+        assertNull(sending(1_000, 900 * MS, NEVER, NEVER, false, NEVER), "held up by 0.1 s");
+        assertEquals("after_its_time", sending(1_000, 800 * MS, NEVER, NEVER, false, NEVER));
+        assertEquals("after_repeat_window", sending(1_000, NEVER, 800 * MS, NEVER, false, NEVER));
+        assertNull(sending(3_000, NEVER, NEVER, NEVER, false, 1_000 * MS), "within the drain grace");
+        assertEquals("after_drain_grace", sending(3_001, NEVER, NEVER, NEVER, false, 1_000 * MS));
+    }
+
+    private static Product product(Repeat repeat, Scope scope) {
+        return new Product("p", repeat, scope, 5_000 * MS, 1_000 * MS, 3_000 * MS, 1, 0.5);
+    }
+
+    private static Entry upstream(String zone, int cell) {
+        return new Entry("u" + zone + cell, State.READY, 0, cell, 1, "", zone);
+    }
+
+    @Test
+    void findsRepeatsThatMayDoHarm() {
+        Entry here = upstream("a", 1);
+        Entry there = upstream("b", 1);
+        Entry next = upstream("a", 2);
+        assertNull(SentCheck.repeating(product(Repeat.IDEMPOTENT, Scope.ZONE), 9_000 * MS, 0, here, there));
+        assertEquals("earlier_may_have_run", SentCheck.repeating(product(Repeat.NON_IDEMPOTENT, Scope.ALL), 1, 0, here, here));
+        Product keyed = product(Repeat.DEDUPLICATED, Scope.ZONE);
+        assertNull(SentCheck.repeating(keyed, 4_000 * MS, 0, here, next));
+        assertEquals("outside_group", SentCheck.repeating(keyed, 4_000 * MS, 0, here, there));
+        assertEquals("outside_group", SentCheck.repeating(product(Repeat.DEDUPLICATED, Scope.CELL), 4_000 * MS, 0, here, next));
+        assertEquals("repeat_window_over", SentCheck.repeating(keyed, 5_200 * MS, 0, here, next));
+        assertNull(SentCheck.repeating(product(Repeat.DEDUPLICATED, Scope.ALL), 4_000 * MS, 0, here, there));
+    }
+}
