--- a/balancer/src/main/java/gorsestack/decision/BalancingPolicy.java
+++ b/balancer/src/main/java/gorsestack/decision/BalancingPolicy.java
@@ -6,7 +6,6 @@
 import gorsestack.decision.Upstreams.Entry;
 import java.util.ArrayDeque;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -87,18 +86,29 @@
             out.wake(0, now + (long) ((0.2 + 0.4 * chance.next()) * settings.rules().askWithin()));
             return;
         }
+        if (news.changes()) {
+            news.entries().forEach(this::learn);
+        } else {
+            takeWhole(news);
+        }
+        for (int u : up.goneAndOver()) {
+            mark(u, false);
+            up.release(u);
+        }
+        regroup();
+    }
+
+    /** What a whole list does not name is gone. */
+    private void takeWhole(Upstreams news) {
         boolean[] named = new boolean[up.size + news.entries().size()];
         for (Entry e : news.entries()) {
             named[learn(e)] = true;
         }
         for (int u = 0; u < up.size; u++) {
-            up.entry[u] = named[u] || news.changes() ? up.entry[u] : up.entry[u].gone();
-            if (up.over(u)) {
-                mark(u, false);
-                up.release(u);
+            if (!named[u]) {
+                up.tell(u, up.entry[u].gone());
             }
         }
-        regroup();
     }
 
     /** By hand: out while back is Figures.OUT, whatever the list says; then cold from that time on. */
@@ -139,10 +149,7 @@
     private void regroup() {
         for (int i = 0; i < groups.length; i++) {
             Group g = groups[i];
-            g.members = IntStream.range(0, up.size)
-                    .filter(u -> groups[up.group[u]] == g && up.ready(u)).boxed()
-                    .sorted(Comparator.comparingInt(u -> reported ? up.lot(u, settings.me()) : 0))
-                    .mapToInt(u -> u).toArray();
+            g.members = members(i);
             int n = g.members.length;
             g.meanWeight = 0;
             g.ill = 0;
@@ -158,6 +165,29 @@
         }
     }
 
+    /** The upstreams of a group that attempts may go to: in the order of their numbers, with reports in this balancer's own. */
+    private int[] members(int group) {
+        int[] found = new int[up.size];
+        int n = 0;
+        for (int u = 0; u < up.size; u++) {
+            if (up.group[u] == group && up.ready(u)) {
+                found[n++] = u;
+            }
+        }
+        int[] members = Arrays.copyOf(found, n);
+        if (reported) {
+            long[] byLot = new long[n];
+            for (int k = 0; k < n; k++) {
+                byLot[k] = (long) up.lot(members[k], settings.me()) << 32 | members[k];
+            }
+            Arrays.sort(byLot);
+            for (int k = 0; k < n; k++) {
+                members[k] = (int) byLot[k];
+            }
+        }
+        return members;
+    }
+
     private int learn(Entry e) {
         boolean known = up.index.containsKey(e.id());
         int u = up.of(e.id());
@@ -167,7 +197,7 @@
             up.alike[u] = up.kind(up.group[u], e.kind(), e.weight());
         }
         Entry before = up.entry[u];
-        up.entry[u] = e;
+        up.tell(u, e);
         if (!known || before.startedAt() != e.startedAt() || before.state() == Upstreams.State.GONE) {
             restarted(u);
         }
@@ -328,8 +358,7 @@
 
     /** Danger: one of a thousand meets an upstream twice a minute. Two messages an answer go round sooner. */
     private void tellPeers() {
-        Integer[] fresh = IntStream.range(0, up.size).filter(u -> up.newsAt[u] > 0).boxed()
-                .sorted(Comparator.comparingLong(u -> -up.newsAt[u])).toArray(Integer[]::new);
+        int[] fresh = up.freshest(News.MOST);
         byte[] message = News.write(up, fresh, now);
         for (int i = 0; i < 2 && limit.peers() && settings.instances() > 1 && fresh.length > 0; i++) {
             int peer = (int) (chance.next() * (settings.instances() - 1));
--- a/balancer/src/main/java/gorsestack/decision/Figures.java
+++ b/balancer/src/main/java/gorsestack/decision/Figures.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 import java.util.zip.CRC32;
 
 /**
@@ -15,12 +16,15 @@
 final class Figures {
     /** Called back never, so far. */
     static final long OUT = Long.MAX_VALUE;
+    private static final int[] NONE = {};
 
     final Map<String, Integer> index = new HashMap<>();
     /** What operators said, by name, so that neither the list nor another index lifts it: when called back, or OUT. */
     final Map<String, Long> maintenance = new HashMap<>();
     private final Map<List<Object>, Integer> kinds = new HashMap<>();
     private final ArrayDeque<Integer> free = new ArrayDeque<>();
+    /** Those that are gone and keep their index for as long as a call remembers an attempt there, in order. */
+    private final TreeSet<Integer> gone = new TreeSet<>();
     /** All indexes are below this. */
     int size;
     Upstreams.Entry[] entry = new Upstreams.Entry[16];
@@ -87,14 +91,34 @@
         return u;
     }
 
+    /** What the list says of it by now. */
+    void tell(int u, Upstreams.Entry told) {
+        entry[u] = told;
+        if (told.state() == Upstreams.State.GONE) {
+            gone.add(u);
+        } else {
+            gone.remove(u);
+        }
+    }
+
+    /** Those whose indexes nothing needs any more, in order. */
+    int[] goneAndOver() {
+        return gone.isEmpty() ? NONE : gone.stream().mapToInt(u -> u).filter(this::over).toArray();
+    }
+
+    /** When it was called back by hand, or OUT; 0 if nothing was ever said of it. */
+    private long calledBack(int u) {
+        return maintenance.isEmpty() ? 0 : maintenance.getOrDefault(entry[u].id(), 0L);
+    }
+
     /** Whether attempts may go there: the list says so, and nobody has taken it out by hand. */
     boolean ready(int u) {
-        return entry[u].state() == Upstreams.State.READY && maintenance.getOrDefault(entry[u].id(), 0L) != OUT;
+        return entry[u].state() == Upstreams.State.READY && calledBack(u) != OUT;
     }
 
     /** When it last started, as the list says or as it was called back by hand; 0 when long ago. */
     long startedAt(int u) {
-        long back = maintenance.getOrDefault(entry[u].id(), 0L);
+        long back = calledBack(u);
         return back == OUT ? entry[u].startedAt() : Math.max(entry[u].startedAt(), back);
     }
 
@@ -129,6 +153,22 @@
         return mark[u] * (2 * balancer + 1) & 0xffffff;
     }
 
+    /** Those with the newest load reports, the newest first, at most so many. */
+    int[] freshest(int most) {
+        int[] found = new int[most];
+        int n = 0;
+        for (int u = 0; u < size; u++) {
+            if (newsAt[u] > 0 && (n < most || newsAt[u] > newsAt[found[n - 1]])) {
+                int at = n < most ? n++ : n - 1;
+                for (; at > 0 && newsAt[found[at - 1]] < newsAt[u]; at--) {
+                    found[at] = found[at - 1];
+                }
+                found[at] = u;
+            }
+        }
+        return Arrays.copyOf(found, n);
+    }
+
     /** Whether nothing needs this index any more. */
     boolean over(int u) {
         return entry[u].state() == Upstreams.State.GONE && remembered[u] == 0
@@ -137,6 +177,7 @@
 
     /** Lets another id have the index; nothing known of the old one passes on. */
     void release(int u) {
+        gone.remove(u);
         index.remove(entry[u].id());
         marked.remove(mark[u], u);
         heardAt[u] = 0;
--- a/balancer/src/main/java/gorsestack/decision/News.java
+++ b/balancer/src/main/java/gorsestack/decision/News.java
@@ -6,7 +6,7 @@
  */
 final class News {
     /** The freshest dozen: 73 bytes, so two of them cost less than one of all, and young news spreads faster. */
-    private static final int MOST = 12;
+    static final int MOST = 12;
     private static final byte VERSION = 1;
     private static final int ENTRY = 6;
     private static final long AGE = 50_000_000;
@@ -19,7 +19,7 @@
     private News() { }
 
     /** Tells of the first dozen of those. */
-    static byte[] write(Figures up, Integer[] of, long now) {
+    static byte[] write(Figures up, int[] of, long now) {
         int n = Math.min(MOST, of.length);
         byte[] m = new byte[1 + ENTRY * n];
         m[0] = VERSION;
