Failing test: a balancer never asks for the list where its first call is due at once

The policy draws when it first asks, from nought up to a fifth of askWithin, and sets a timer from within its constructor, on the thread of the start; the event loop runs it on its own thread. Where it is due before the constructor of Calls has come to its end the call is lost, and no other is planned. That took some 100 ms on the busy machine, a twentieth of the two seconds that are drawn from.

--- a/balancer/src/test/java/gorsestack/serve/ProcessEndTest.java
+++ b/balancer/src/test/java/gorsestack/serve/ProcessEndTest.java
@@ -168,6 +168,27 @@
         assertEquals(1, log().split("ending; ", -1).length - 1, log());
     }
 
+    /**
+     * The policy draws when it first asks for the list, and draws next to nothing with this seed: the timer is due while the balancer is
+     * still being built. Seen in the soak (incident 0019): the first call for the list was lost with it, and none followed.
+     */
+    @Test
+    void asksForTheListThoughThatIsDueAtOnce() throws Exception {
+        try (ServerSocket discovery = new ServerSocket(0, 50, loopback)) {
+            discovery.setSoTimeout(15_000);
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, configuration().replaceFirst("\"discovery\" *: *\"[^\"]*\"", "\"discovery\": \"127.0.0.1:"
+                    + discovery.getLocalPort() + "\"").replaceFirst("\"seed\" *: *\"[^\"]*\"", "\"seed\": \"a2a1c6\""));
+            run(file);
+            try (Socket asked = discovery.accept()) {
+                byte[] begin = asked.getInputStream().readNBytes(21);
+                assertEquals("GET /catalog/members?", new String(begin, StandardCharsets.US_ASCII));
+            }
+            until("is ready on");
+            assertTrue(!log().contains("a task failed"), log());
+        }
+    }
+
     /** A setting that is misspelt: one line that names it, exit code 2, and nothing listens. */
     @Test
     void endsTheStartWithTheFieldThatIsMissing() throws Exception {
