The balancer is built on the event loop's thread, so its first call for the list is not lost

Change: Service builds Calls in a task of the event loop and waits for it; what was due meanwhile runs behind it.

--- a/balancer/src/main/java/gorsestack/serve/Service.java
+++ b/balancer/src/main/java/gorsestack/serve/Service.java
@@ -19,7 +19,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import sun.misc.SignalHandler;
@@ -114,8 +117,9 @@
         Limits limits = configuration.limits();
         Restore.Restored restored = configuration.state() == null ? null : restored();
         boolean listKept = restored != null && restored.listed() != null;
-        calls = new Calls(eventLoop, limits, configuration.settings(), configuration.seed(), network,
-                configuration.discovery(), listKept ? restored.listed().index() : configuration.known().index());
+        long index = listKept ? restored.listed().index() : configuration.known().index();
+        calls = onEventLoop(() -> new Calls(eventLoop, limits, configuration.settings(), configuration.seed(), network,
+                configuration.discovery(), index));
         if (restored != null) {
             calls.recovery().keepList();
             long now = eventLoop.now();
@@ -212,7 +216,7 @@
                 }
             });
         }
-        calls.ignoredSignals(signals.ignored());
+        eventLoop.execute(() -> calls.ignoredSignals(signals.ignored()));
         startedTo.countDown();
         stage("balancer");
         // Danger: beside another process the system deals clients out to both as soon as this one listens, cold as it is.
@@ -233,6 +237,23 @@
         LOG.log(System.Logger.Level.INFO, "{0} is ready on {1}", configuration.name(), configuration.listen());
     }
 
+    /**
+     * Makes something that is the event loop's on its thread. Guards against: what sets timers while it is being built has them run on that
+     * thread before it is whole; the first call for the list was lost so.
+     */
+    private <T> T onEventLoop(Callable<T> make) throws IOException {
+        FutureTask<T> task = new FutureTask<>(make);
+        eventLoop.execute(task);
+        try {
+            return task.get();
+        } catch (ExecutionException e) {
+            throw new IOException("cannot start: " + e.getCause(), e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted");
+        }
+    }
+
     private String name() {
         return configuration.name() + configuration.listen();
     }
