--- a/lab/src/test/java/gorsestack/lab/net/LinkTest.java
+++ b/lab/src/test/java/gorsestack/lab/net/LinkTest.java
@@ -25,12 +25,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 /** What a link does to real sockets on loopback. */
 class LinkTest {
-    @TempDir
-    private Path folder;
+    /** Where labs hold the networks they use; a folder of this test's own would give it one that a lab beside it uses too. */
+    private static final Path NETWORKS = Path.of(System.getProperty("java.io.tmpdir"));
+
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final SplittableRandom random = new SplittableRandom(1);
@@ -42,7 +42,7 @@
     /** An echo behind a link. */
     @BeforeEach
     void open() throws Exception {
-        addresses = Addresses.take(folder);
+        addresses = Addresses.take(NETWORKS);
         link = new Links().between("n0", "u0");
         on(() -> {
             door = new Door(loop, addresses.upstream(0, 0), link, random, channel ->
@@ -231,7 +231,7 @@
 
     @Test
     void takesANetworkOfItsOwn() throws Exception {
-        try (Addresses other = Addresses.take(folder)) {
+        try (Addresses other = Addresses.take(NETWORKS)) {
             assertNotEquals(addresses.balancer(0), other.balancer(0));
         }
     }
