--- a/balancer/src/main/java/gorsestack/invariant/Invariants.java
+++ b/balancer/src/main/java/gorsestack/invariant/Invariants.java
@@ -46,21 +46,6 @@
         retries.merge(after, 1L, Long::sum);
     }
 
-    /** How many violations of all rules there have been. */
-    public long violations() {
-        return violations.values().stream().mapToLong(Long::longValue).sum();
-    }
-
-    /** How often a connection ended for this reason. */
-    public long closes(CloseReason reason) {
-        return closes.getOrDefault(reason, 0L);
-    }
-
-    /** How often an attempt or a call was held back for this reason. */
-    public long refusals(Refusal reason) {
-        return refusals.getOrDefault(reason, 0L);
-    }
-
     /** All counters as name and value; every rule is named, of the others those that have counted. */
     public void report(BiConsumer<String, Long> to) {
         for (Rule rule : Rule.values()) {
