--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -72,8 +72,9 @@
         try (Rig rig = new Rig(Path.of(arguments[0]), Path.of(arguments[1]))) {
             code = played.play(rig) ? HELD : BROKEN;
             rig.noteAndPrint("%s", code == HELD ? "the rule was kept" : "THE RULE WAS BROKEN");
-        } catch (Exception e) {
+        } catch (Throwable e) { // Also of an error: its exit code must not be that of a broken rule.
             e.printStackTrace();
+            code = COULD_NOT_RUN;
         }
         System.exit(code);
     }
