An upload that is turned away early reaches the next upstream from its first byte

Cause: UpstreamConnection.responseComplete set its upload to null before it closed the connection, so close() did not detach the body. The relay kept the closed connection as its target and its source went on: the kept beginning was dropped as passed on, and the next connection failed with a NullPointerException after its head, then got the rest as if it were the whole body.

Evidence: LargeBodyTest.sendsAnUploadThatWasTurnedAwayFromItsFirstByteToTheNextUpstream (both framings, three refusals, 0 to 3 pieces before the next connection) failed before with that exception in BodyRelay.attach, from UpstreamConnection.opened.

Change: the body is detached before the outcome is reported. BodyRelay itself no longer drops bytes that come without a target, lets only the current target detach itself, and fails a target that would get a body without its beginning.

--- a/balancer/src/main/java/gorsestack/wire/BodyRelay.java
+++ b/balancer/src/main/java/gorsestack/wire/BodyRelay.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
  * Streams a body that is too large to be buffered from the connection that receives it to the one that sends it on: a request from a client
@@ -52,7 +53,6 @@
 
     private Target target;
     private boolean sourcePaused;
-    private boolean notReplayable;
     private boolean complete;
     private boolean ended;
 
@@ -73,8 +73,15 @@
         return target != null;
     }
 
-    /** Sends the body to this target, beginning with the prefix. Another target may follow as long as only the prefix has been sent. */
+    /**
+     * Sends the body to this target, beginning with the prefix. Another target may follow as long as only the prefix has been sent; after
+     * that the target is told at once that the body has failed, as it must not get the rest without the beginning.
+     */
     void attach(Target newTarget) {
+        if (prefix == null || (ended && !complete)) {
+            newTarget.bodyFailed();
+            return;
+        }
         target = newTarget;
         write(prefix);
         if (complete) {
@@ -85,8 +92,14 @@
         }
     }
 
-    /** Removes a target that has failed. The next one begins again with the prefix, unless more of the body has been passed on. */
-    void detach() {
+    /**
+     * Removes a target that has failed, if the body is being sent to it. The next one begins again with the prefix, unless more of the body
+     * has been passed on.
+     */
+    void detach(Target failed) {
+        if (target != failed) {
+            return;
+        }
         target = null;
         if (!ended) {
             sourcePaused = true;
@@ -110,18 +123,20 @@
         target.writeBody(chunk.toByteArray());
     }
 
-    /** Passes on the next bytes from the source, or drops them if there is no target. */
+    /** Passes on the next bytes from the source. Without a target, as the source is being paused, they are held for the next one. */
     void relay(byte[] buffer, int offset, int count) {
-        if (ended || target == null) {
+        if (ended) {
+            return;
+        }
+        byte[] bytes = Arrays.copyOfRange(buffer, offset, offset + count);
+        if (target == null) {
+            hold(bytes);
             return;
         }
-        if (!notReplayable) {
-            notReplayable = true;
+        if (prefix != null) {
             prefix = null;
             source.bodyNotReplayable();
         }
-        byte[] bytes = new byte[count];
-        System.arraycopy(buffer, offset, bytes, 0, count);
         write(bytes);
         if (!sourcePaused && target.unsent() > budget.relayLimit()) {
             sourcePaused = true;
@@ -129,6 +144,15 @@
         }
     }
 
+    /** Appends bytes to the prefix; if that is no longer held, no target can follow, and they are dropped. */
+    private void hold(byte[] bytes) {
+        if (prefix != null) {
+            int held = prefix.length;
+            prefix = Arrays.copyOf(prefix, held + bytes.length);
+            System.arraycopy(bytes, 0, prefix, held, bytes.length);
+        }
+    }
+
     /** Records that a write to the target has been sent, and resumes the source once no more than half of the limit is unsent. */
     void targetSent() {
         if (sourcePaused && !ended && target != null && target.unsent() <= budget.relayLimit() / 2) {
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -229,17 +229,20 @@
         BodyRelay relay = download;
         attempt = null;
         download = null;
-        boolean reusable = request.written();
-        upload = null;
         if (relay != null) {
             relay.complete();
         }
         if (moreBytes) {
             owner.unexpectedBytes();
         }
-        if (!reusable || moreBytes || head.hasToken("connection", "close") || head.start[0].equals("HTTP/1.0")) {
-            close();
+        if (!request.written()
+                || moreBytes
+                || head.hasToken("connection", "close")
+                || head.start[0].equals("HTTP/1.0")) {
+            close(); // Also detaches the rest of the request's body, which the next attempt must get from its first
+            // byte.
         } else {
+            upload = null;
             owner.becameIdle(this);
         }
         if (completed != null) {
@@ -301,7 +304,7 @@
             upload = null;
             download = null;
             if (requestBody != null) {
-                requestBody.detach();
+                requestBody.detach(this);
             }
             if (responseBody != null) {
                 responseBody.fail();
--- a/balancer/src/test/java/gorsestack/proxy/LargeBodyTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/LargeBodyTest.java
@@ -8,6 +8,7 @@
 
 import gorsestack.wire.ConnectionHandler;
 import java.io.IOException;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Tests the streaming of request and response bodies, and the limits of what is buffered. */
@@ -183,4 +184,79 @@
         rig.advance(300);
         assertTrue(slow.output.endsWith("y".repeat(100_000)), "a slow response is forwarded as it arrives");
     }
+
+    /**
+     * Guards against an upload that runs without its beginning: an upstream turns it away before its end, and more of it arrives while the
+     * connection to the next upstream is being established.
+     */
+    @Test
+    void sendsAnUploadThatWasTurnedAwayFromItsFirstByteToTheNextUpstream() throws IOException {
+        for (String framing : List.of("Content-Length: 72000", "Transfer-Encoding: chunked")) {
+            for (String refusal : List.of("503 X", "504 X", "503 X\r\nConnection: close")) {
+                for (int piecesBeforeNextConnection = 0;
+                        piecesBeforeNextConnection <= 3;
+                        piecesBeforeNextConnection++) {
+                    assertResentFromFirstByte(framing, refusal, piecesBeforeNextConnection);
+                }
+            }
+        }
+    }
+
+    private static void assertResentFromFirstByte(String framing, String refusal, int piecesBeforeNextConnection)
+            throws IOException {
+        boolean chunked = framing.endsWith("chunked");
+        String body = numberedBody(72_000);
+        DispatcherRig rig = DispatcherRig.withUpstreams(2);
+        rig.connectsAtOnce = false;
+        FakeSocket client = rig.client();
+        client.send(request("once", "c1").replace("Content-Length: 2\r\n\r\nhi", framing + "\r\n\r\n")
+                + piece(body, 0, 66_000, chunked));
+        FakeSocket first = rig.lastUsed();
+        first.connect();
+        first.send("HTTP/1.1 " + refusal + "\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
+        FakeSocket next = rig.lastUsed();
+        assertTrue(next != first, "the upload is retried at another upstream");
+        int sent = 66_000;
+        for (int i = 0; i < piecesBeforeNextConnection; i++) {
+            client.send(piece(body, sent, sent + 500, chunked));
+            sent += 500;
+        }
+        next.connect();
+        client.send(piece(body, sent, body.length(), chunked) + (chunked ? "0\r\n\r\n" : ""));
+        String received = next.output.substring(next.output.indexOf("\r\n\r\n") + 4);
+        assertEquals(body, chunked ? withoutChunkFraming(received) : received, framing + ", " + refusal);
+        next.sendOk("done");
+        expectResponse(200, client);
+    }
+
+    /** Returns a body in which each place can be told from every other. */
+    private static String numberedBody(int length) {
+        StringBuilder body = new StringBuilder(length);
+        for (int i = 0; body.length() < length; i++) {
+            body.append(i).append(',');
+        }
+        return body.substring(0, length);
+    }
+
+    /** Returns a part of a body as it is sent: in one chunk, or as it is. */
+    private static String piece(String body, int begin, int end, boolean chunked) {
+        String part = body.substring(begin, end);
+        return chunked ? Integer.toHexString(end - begin) + "\r\n" + part + "\r\n" : part;
+    }
+
+    /** Returns the content of a chunked body, which must end with its last chunk. */
+    private static String withoutChunkFraming(String chunked) {
+        StringBuilder content = new StringBuilder();
+        int position = 0;
+        while (true) {
+            int lineEnd = chunked.indexOf("\r\n", position);
+            int size = Integer.parseInt(chunked.substring(position, lineEnd), 16);
+            if (size == 0) {
+                assertEquals(lineEnd + 4, chunked.length(), "nothing follows the last chunk");
+                return content.toString();
+            }
+            content.append(chunked, lineEnd + 2, lineEnd + 2 + size);
+            position = lineEnd + 4 + size;
+        }
+    }
 }
