What the requests of all clients occupy is bounded together: 8 MiB, stalled ones go first

The thread "io" ends with an OutOfMemoryError; the process stays and answers nothing any more, neither calls nor /_health.

Cause: each connection may buffer a body up to 64 KiB, in an array that doubles, 480 connections are allowed, and nothing bounded the sum. Beginnings of uploads kept for another attempt, whole bodies of open calls, and those of calls whose client had left, were not counted either.

Change: BufferBudget counts what requests occupy from their first byte to their answer. Past 8 MiB incomplete requests are rejected with 503, those first that have made no progress for longest; complete ones over 4 KiB if there is none. Arrays of bodies grow to their declared length and no further, are held once, and given up when the call ends. Operators' calls with a body are refused at its first byte. New log line request_memory_exhausted.

--- a/balancer/src/main/java/gorsestack/admin/AdminServer.java
+++ b/balancer/src/main/java/gorsestack/admin/AdminServer.java
@@ -257,11 +257,11 @@
             }
             try {
                 parser.feed(bytes, 0, bytes.length);
+                if (parser.bodyBytes() > 0) { // Rejected at once, as a body would be buffered up to its end.
+                    throw new MalformedMessageException(BAD_REQUEST, "calls here have no body");
+                }
                 if (parser.done()) {
                     requestHandled = true;
-                    if (parser.body().length > 0) {
-                        throw new MalformedMessageException(BAD_REQUEST, "calls here have no body");
-                    }
                     handle(parser.head().start[0], parser.head().start[1], this::respond);
                 }
             } catch (MalformedMessageException e) {
--- a/balancer/src/main/java/gorsestack/proxy/ActiveCall.java
+++ b/balancer/src/main/java/gorsestack/proxy/ActiveCall.java
@@ -14,9 +14,9 @@
 final class ActiveCall {
     final String id;
     final ClientConnection client;
-    final Request request;
     final List<UpstreamAttempt> attempts = new ArrayList<>();
 
+    private Request request;
     private int attemptsInFlight;
     private Runnable cancelDeadlineBackstop;
     private volatile boolean ended;
@@ -34,11 +34,18 @@
         cancelDeadlineBackstop = cancel;
     }
 
+    /** Returns the request; once the call has ended, without its body. */
+    Request request() {
+        return request;
+    }
+
     /** Ends the call, as it has its final response or its client has disconnected, and cancels the timer of its deadline. */
     void end(EventLoop clock) {
         // The time is read after the flag is set, so that every request written later was checked against the flag.
         ended = true;
         endedAt = clock.now();
+        // Attempts may be in flight for seconds after their call; without this, each would occupy the memory of a body.
+        request = request.withoutBody();
         if (cancelDeadlineBackstop != null) {
             cancelDeadlineBackstop.run();
         }
--- a/balancer/src/main/java/gorsestack/proxy/AttemptAuditor.java
+++ b/balancer/src/main/java/gorsestack/proxy/AttemptAuditor.java
@@ -36,7 +36,7 @@
         if (violation != null) {
             invariants.violated(Rule.SEND, call.id, violation);
         }
-        Settings.Product product = products.of(call.request);
+        Settings.Product product = products.of(call.request());
         for (int i = 0; i < attempt.number; i++) {
             UpstreamAttempt earlier = call.attempts.get(i);
             if (earlier.mayHaveExecuted()) {
@@ -60,7 +60,7 @@
 
     /** Audits a rate-limit response, which promises the client that a retry is harmless. */
     void checkRateLimited(ActiveCall call) {
-        Settings.Product product = products.of(call.request);
+        Settings.Product product = products.of(call.request());
         boolean mayHaveExecuted = call.attempts.stream().anyMatch(UpstreamAttempt::mayHaveExecuted);
         boolean harmless = product.repeat() == Settings.Repeat.IDEMPOTENT
                 || (product.repeat() == Settings.Repeat.DEDUPLICATED && product.scope() == Settings.Scope.ALL);
--- a/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
+++ b/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
@@ -67,7 +67,7 @@
     /** Starts the call's next attempt, which times out after {@code timeout} nanoseconds. */
     void start(ActiveCall call, String upstream, long timeout) {
         long now = clock.inputTime();
-        Settings.Repeat repeat = products.repeat(call.request.product());
+        Settings.Repeat repeat = products.repeat(call.request().product());
         long sendBy = repeat == Settings.Repeat.DEDUPLICATED ? retryWindowEnd(call) : Long.MAX_VALUE;
         UpstreamAttempt attempt = new UpstreamAttempt(call, upstream, now, now + timeout, sendBy, eventLoop, this);
         countRetry(call);
@@ -119,7 +119,7 @@
                 .filter(UpstreamAttempt::mayHaveExecuted)
                 .findFirst()
                 .map(first -> first.startedAt()
-                        + products.of(call.request).repeatWindow()
+                        + products.of(call.request()).repeatWindow()
                         - limits.call().responseMarginNanos())
                 .orElse(Long.MAX_VALUE);
     }
@@ -182,7 +182,7 @@
 
     @Override
     public long clientTimeout(ActiveCall call) {
-        return products.clientTimeout(call.request);
+        return products.clientTimeout(call.request());
     }
 
     /**
--- a/balancer/src/main/java/gorsestack/proxy/CallDeadlines.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallDeadlines.java
@@ -44,7 +44,7 @@
 
     /** Schedules the timer of the call's deadline and returns for how many nanoseconds the policy may work on the call. */
     long start(ActiveCall call, long arrivedAt) {
-        long timeout = products.clientTimeout(call.request);
+        long timeout = products.clientTimeout(call.request());
         long deadline = Math.min(arrivedAt + timeout, latestResponseAt);
         call.deadlineBackstop(
                 eventLoop.at(deadline - limits.call().deadlineBackstopNanos(), () -> respondAtDeadline(call)));
--- a/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
@@ -78,7 +78,7 @@
         this.clockResolution = settings.clockResolution();
         this.pool = new UpstreamConnectionPool(network, limits, eventLoop, bufferBudget);
         this.random = new Random(seed);
-        this.clients = new ClientConnectionManager(eventLoop, limits, network);
+        this.clients = new ClientConnectionManager(eventLoop, limits, network, bufferBudget);
         this.discovery = new DiscoveryWatch(network, eventLoop, limits, discovery, index, this);
         this.products = new ProductTable(settings.products());
         this.policy = new BalancingPolicy(
--- a/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
+++ b/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
@@ -1,9 +1,12 @@
 package gorsestack.proxy;
 
 import gorsestack.settings.Limits;
+import gorsestack.wire.BufferBudget;
 import gorsestack.wire.ClientConnection;
 import gorsestack.wire.EventLoop;
+import gorsestack.wire.MalformedMessageException;
 import gorsestack.wire.Network;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -16,6 +19,7 @@
  * in each case the socket keeps a connection on which input has arrived that was not handled yet.
  */
 public final class ClientConnectionManager {
+    private static final System.Logger LOG = System.getLogger("gorsestack.client");
     /** The number of priorities at which connections are closed, lowest first; see {@link ClientConnection#closePriority()}. */
     private static final int CLOSABLE_PRIORITIES = 3;
     /** The priority of connections that have been idle for long after an earlier request. */
@@ -24,6 +28,7 @@
     private final EventLoop eventLoop;
     private final Limits limits;
     private final Network network;
+    private final BufferBudget bufferBudget;
     private final Set<ClientConnection> open = new LinkedHashSet<>();
     private int maxConnections;
     private boolean limitCheckScheduled;
@@ -31,10 +36,12 @@
     private boolean evacuating;
     private Runnable onAllClosed;
 
-    ClientConnectionManager(EventLoop eventLoop, Limits limits, Network network) {
+    ClientConnectionManager(EventLoop eventLoop, Limits limits, Network network, BufferBudget bufferBudget) {
         this.eventLoop = eventLoop;
         this.limits = limits;
         this.network = network;
+        this.bufferBudget = bufferBudget;
+        bufferBudget.reclaimRequestsBy(this::rejectStalledRequests);
         maxConnections = limits.client().maxConnections();
     }
 
@@ -102,6 +109,31 @@
         return chosen.size();
     }
 
+    /**
+     * Rejects incomplete requests, first those that have made no progress for longest, until all requests together occupy no more memory
+     * than they may. Without this, some hundred clients that stop within a body would use up the heap.
+     */
+    private void rejectStalledRequests() {
+        while (bufferBudget.requestsExceedLimit()) {
+            ClientConnection stalled = open.stream()
+                    .filter(connection -> connection.requestStalledSince() < Long.MAX_VALUE)
+                    .min(Comparator.comparingLong(ClientConnection::requestStalledSince))
+                    .orElse(null);
+            if (stalled == null) {
+                return;
+            }
+            bufferBudget.requestRefused();
+            stalled.reject(new MalformedMessageException(503, "incomplete requests occupy too much memory"));
+        }
+    }
+
+    private void logRefusedRequests() {
+        int refused = bufferBudget.getAndResetRefused();
+        if (refused > 0) {
+            LOG.log(System.Logger.Level.WARNING, "request_memory_exhausted requests_rejected={0}", refused);
+        }
+    }
+
     private void closeIdle(Predicate<ClientConnection> condition) {
         List.copyOf(open).stream().filter(condition).forEach(connection -> eventLoop.execute(connection::closeIfIdle));
     }
@@ -170,6 +202,7 @@
             if (closing) {
                 closeIdle(connection -> true);
             }
+            logRefusedRequests();
         });
     }
 }
--- a/balancer/src/main/java/gorsestack/proxy/UpstreamAttempt.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamAttempt.java
@@ -60,7 +60,7 @@
     /** Gives the request to a connection, which writes it once it is established. */
     void sendOn(UpstreamConnection target) {
         connection = target;
-        target.send(call.request.upload(), this);
+        target.send(call.request().upload(), this);
     }
 
     /** Schedules the end of the attempt at its deadline. */
@@ -157,7 +157,7 @@
      */
     @Override
     public byte[] request() {
-        return call.request.forward(bodyIncomplete() ? listener.clientTimeout(call) : deadline() - clock.now());
+        return call.request().forward(bodyIncomplete() ? listener.clientTimeout(call) : deadline() - clock.now());
     }
 
     @Override
--- a/balancer/src/main/java/gorsestack/settings/BufferLimits.java
+++ b/balancer/src/main/java/gorsestack/settings/BufferLimits.java
@@ -8,6 +8,10 @@
  * @param streamedBodyBytes the largest body that is streamed; bodies reach 32 MB
  * @param relayBytes the body bytes that may wait to be written for one message
  * @param totalRelayBytes the body bytes that may wait to be written for all messages together: a seventh of the heap
+ * @param totalRequestBytes the bytes that all requests of clients together may occupy, as far as they have arrived and until they have
+ *     their response: under a quarter of the heap
+ * @param smallRequestBytes the size up to which a request is accepted even if the total is exceeded: with as many such requests as
+ *     clients may have connections, a twentieth of the heap
  * @param unroutedBodyBytes the body bytes that are read before an upstream has been found, so that a disconnect of the client is
  *     detected; some milliseconds of reading, and a third of what the bodies of all such messages together may hold
  * @param bufferedResponseBytes the largest response that is buffered until it is complete
@@ -25,6 +29,8 @@
         long streamedBodyBytes,
         int relayBytes,
         int totalRelayBytes,
+        int totalRequestBytes,
+        int smallRequestBytes,
         int unroutedBodyBytes,
         int bufferedResponseBytes,
         int maxBufferedResponses,
@@ -43,6 +49,8 @@
         long streamedBodyBytes = 36L * MIB;
         int relayBytes = 64 * KIB;
         int totalRelayBytes = 6 * MIB;
+        int totalRequestBytes = 8 * MIB;
+        int smallRequestBytes = 4 * KIB;
         int unroutedBodyBytes = MIB;
         int bufferedResponseBytes = 256 * KIB;
         int maxBufferedResponses = 8;
@@ -56,6 +64,8 @@
                 streamedBodyBytes,
                 relayBytes,
                 totalRelayBytes,
+                totalRequestBytes,
+                smallRequestBytes,
                 unroutedBodyBytes,
                 bufferedResponseBytes,
                 maxBufferedResponses,
--- a/balancer/src/main/java/gorsestack/wire/BodyRelay.java
+++ b/balancer/src/main/java/gorsestack/wire/BodyRelay.java
@@ -69,6 +69,11 @@
         return length >= 0 ? "Content-Length: " + length + "\r\n" : "Transfer-Encoding: chunked\r\n";
     }
 
+    /** Returns the bytes of the body that are kept for another target. */
+    int heldBytes() {
+        return prefix == null ? 0 : prefix.length;
+    }
+
     boolean hasTarget() {
         return target != null;
     }
@@ -78,7 +83,7 @@
      * that the target is told at once that the body has failed, as it must not get the rest without the beginning.
      */
     void attach(Target newTarget) {
-        if (prefix == null || (ended && !complete)) {
+        if (prefix == null) {
             newTarget.bodyFailed();
             return;
         }
@@ -198,6 +203,7 @@
     private void end() {
         if (!ended) {
             ended = true;
+            prefix = null;
             budget.relayEnded();
         }
     }
--- a/balancer/src/main/java/gorsestack/wire/BufferBudget.java
+++ b/balancer/src/main/java/gorsestack/wire/BufferBudget.java
@@ -3,8 +3,9 @@
 import gorsestack.settings.Limits;
 
 /**
- * Bounds the memory of all large bodies in flight: how much of each may wait to be sent, and how much may be read before there is a target
- * for it. Shared by all connections; used on the event loop's thread only.
+ * Bounds the memory of all messages in flight: how much of each large body may wait to be sent, how much may be read before there is a
+ * target for it, and how much the requests of all clients together may occupy. Shared by all connections; used on the event loop's thread
+ * only.
  */
 public final class BufferBudget {
     /** Bytes that one body may always have waiting, however many bodies there are: a smaller buffer would stall each write. */
@@ -16,6 +17,12 @@
     private int bufferedResponses;
     /** Bytes that all connections together have read and not parsed yet. */
     private int readAheadBytes;
+    /** Bytes that the requests of all clients occupy, those that are still arriving included. */
+    private int requestBytes;
+    /** Number of requests refused for lack of memory since the last call of {@link #getAndResetRefused}. */
+    private int refusedRequests;
+
+    private Runnable reclaimRequests = () -> {};
 
     /** Creates a budget with nothing reserved. */
     public BufferBudget(Limits limits) {
@@ -46,8 +53,51 @@
         bufferedResponses--;
     }
 
+    /** Sets the action that ends incomplete requests until {@link #requestsExceedLimit} is false or none is left. */
+    public void reclaimRequestsBy(Runnable action) {
+        reclaimRequests = action;
+    }
+
+    /**
+     * Counts memory that the requests of clients occupy or, with a negative number, no longer do. If they exceed the limit, incomplete
+     * requests are ended, among them perhaps the one that is being counted.
+     */
+    void addRequestBytes(int change) {
+        requestBytes += change;
+        reclaimIfExceeded(change);
+    }
+
+    private void reclaimIfExceeded(int change) {
+        if (change > 0 && requestsExceedLimit()) {
+            reclaimRequests.run();
+        }
+    }
+
+    /** Returns whether the requests of all clients together occupy more memory than they may, those read ahead included. */
+    public boolean requestsExceedLimit() {
+        return requestBytes + readAheadBytes > limits.buffer().totalRequestBytes();
+    }
+
+    /** Returns whether a request of this size may be accepted. Small ones always are, so that large ones do not exclude them. */
+    boolean acceptsRequest(int bytes) {
+        return bytes <= limits.buffer().smallRequestBytes() || !requestsExceedLimit();
+    }
+
+    /** Counts a request that was refused for lack of memory. */
+    public void requestRefused() {
+        refusedRequests++;
+    }
+
+    /** Returns the number of requests refused for lack of memory since the last call. */
+    public int getAndResetRefused() {
+        int count = refusedRequests;
+        refusedRequests = 0;
+        return count;
+    }
+
     void addReadAhead(int change) {
         readAheadBytes += change;
+        reclaimIfExceeded(change);
     }
 
     /**
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -123,7 +123,7 @@
             return;
         }
         handler.clientDisconnected(this);
-        reader.abortUpload();
+        reader.abortRequest();
         enter(State.IN_CALL);
         lingering = true;
         channel.write(Response.own(e.status, "", e.getMessage()).bytes(true));
@@ -342,9 +342,9 @@
         return hasRequested;
     }
 
-    /** Returns whether a large response is being relayed. */
-    public boolean relayingResponse() {
-        return download != null;
+    /** Returns since when an incomplete request that is not small has made no progress; Long.MAX_VALUE if there is none. */
+    public long requestStalledSince() {
+        return closedOrEnding() ? Long.MAX_VALUE : reader.stalledSince();
     }
 
     /** Closes the connection between calls, unless a request has begun; the socket decides, as one may be read just now. */
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -33,6 +33,9 @@
     private boolean overflowed;
 
     private boolean readingSuspended;
+    /** Bytes of the request being read, or of the open one, that are counted in the budget. */
+    private int countedBytes;
+
     private boolean continueSent;
 
     ClientRequestReader(
@@ -64,6 +67,25 @@
         return parser.begun() && timings.requestOverdue(now, parser);
     }
 
+    /**
+     * Returns since when a request that is not small has made no progress, if its client has not sent all of it and this side reads it;
+     * otherwise Long.MAX_VALUE.
+     */
+    long stalledSince() {
+        boolean waitsForClient = !parser.done() && !uploadPaused;
+        return waitsForClient && countedBytes > limits.buffer().smallRequestBytes()
+                ? timings.lastProgressAt()
+                : Long.MAX_VALUE;
+    }
+
+    /** Updates the number of bytes that the request occupies. May end this connection or others, if they are too many. */
+    private void countBytes() {
+        int bytes = parser.heldBytes() + (upload == null ? 0 : upload.heldBytes());
+        int change = bytes - countedBytes;
+        countedBytes = bytes;
+        handler.bufferBudget().addRequestBytes(change);
+    }
+
     boolean hasReadAhead() {
         return !readAhead.isEmpty();
     }
@@ -119,7 +141,9 @@
         if (uploading() && !readingSuspended && !mayReadAhead()) {
             readingSuspended = true;
             channel.suspendReading(true);
-        } else if (!uploading() && readAhead.totalBytes() > limits.buffer().bodyBytes()) {
+        } else if (!uploading()
+                && (readAhead.totalBytes() > limits.buffer().bodyBytes()
+                        || !handler.bufferBudget().acceptsRequest(readAhead.totalBytes()))) {
             overflowed = true;
             channel.discard();
         }
@@ -181,6 +205,7 @@
                 pauseBody(true);
                 connection.handle(parser.head(), new byte[0], upload, lastByteAt);
             }
+            countBytes();
         } catch (MalformedMessageException e) {
             connection.reject(e);
         }
@@ -196,6 +221,11 @@
             pipelining = true;
             readAhead.addFirst(Arrays.copyOfRange(bytes, used, bytes.length), lastByteAt);
         }
+        countBytes();
+        if (!handler.bufferBudget().acceptsRequest(countedBytes)) {
+            handler.bufferBudget().requestRefused();
+            throw new MalformedMessageException(503, "requests occupy too much memory");
+        }
         connection.requestComplete();
         if (upload != null) {
             upload.complete();
@@ -235,24 +265,32 @@
     /** Begins the next request. */
     void nextRequest() {
         continueSent = false;
-        parser = HttpParser.request(limits);
+        releaseRequest();
         if (readingSuspended) {
             resumeReading();
         }
     }
 
-    /** Stops reading and relaying the body of the open request, which is rejected. */
-    void abortUpload() {
+    /** Drops the request that is being read, which is rejected, and all that was sent ahead; its body is not relayed further. */
+    void abortRequest() {
         if (upload != null) {
             upload.fail();
             upload = null;
             uploadPaused = false;
         }
+        readAhead.clear();
+        releaseRequest();
+    }
+
+    private void releaseRequest() {
+        parser = HttpParser.request(limits);
+        countBytes();
     }
 
     /** Stops relaying the body of the open request, which has its response early. */
     void failUpload() {
         upload.fail();
+        countBytes();
     }
 
     /** Reads and discards the rest of a request that has its response early. */
@@ -278,9 +316,6 @@
 
     /** Drops all input after the connection has been closed. */
     void closed() {
-        readAhead.clear();
-        if (upload != null) {
-            upload.fail();
-        }
+        abortRequest();
     }
 }
--- a/balancer/src/main/java/gorsestack/wire/ClientTimings.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientTimings.java
@@ -33,6 +33,10 @@
         lastProgressAt = now;
     }
 
+    long lastProgressAt() {
+        return lastProgressAt;
+    }
+
     void becameIdle(long now) {
         idleSince = now;
     }
--- a/balancer/src/main/java/gorsestack/wire/HttpParser.java
+++ b/balancer/src/main/java/gorsestack/wire/HttpParser.java
@@ -1,7 +1,6 @@
 package gorsestack.wire;
 
 import gorsestack.settings.Limits;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
@@ -34,9 +33,9 @@
 
     private final long maxBodyBytes;
     private BodySink sink;
-    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private final GrowableBuffer body = new GrowableBuffer();
     /** The bytes of the head, or of the current line of a chunked body, that have arrived so far. */
-    private ByteArrayOutputStream line = new ByteArrayOutputStream(512);
+    private final GrowableBuffer line = new GrowableBuffer();
 
     private State state = State.HEAD;
     private MessageHead head;
@@ -74,7 +73,7 @@
     }
 
     private void buffer(byte[] bytes, int offset, int length) {
-        body.write(bytes, offset, length);
+        body.append(bytes, offset, length);
     }
 
     /**
@@ -93,13 +92,13 @@
     }
 
     /** Returns the number of bytes of the body received so far. */
-    long bodyBytes() {
+    public long bodyBytes() {
         return bodyBytes;
     }
 
     /** Drops the buffered part of the body and passes all that follows to this sink. */
     void streamTo(BodySink newSink) {
-        body = new ByteArrayOutputStream(0);
+        body.release();
         sink = newSink;
     }
 
@@ -132,9 +131,14 @@
         return head;
     }
 
-    /** Returns the buffered part of the body. */
+    /** Returns the buffered part of the body, which the caller must not change. */
     public byte[] body() {
-        return body.toByteArray();
+        return body.trimmed();
+    }
+
+    /** Returns the bytes of memory that the part of the message that has arrived occupies, its head as received. */
+    int heldBytes() {
+        return line.capacity() + body.capacity() + (head == null ? 0 : head.size());
     }
 
     /** Parses bytes until the message is complete; returns the offset of the first byte that was not used. */
@@ -164,7 +168,7 @@
     }
 
     private void lineByte(byte next) throws MalformedMessageException {
-        line.write(next);
+        line.append(next);
         if (state == State.HEAD
                 && request
                 && ((next < ' ' && next != '\r' && next != '\n' && next != '\t') || next > '~')) {
@@ -191,11 +195,12 @@
         if (length == 2 && lineStart == 0) {
             line.reset(); // An empty line ahead of a message is ignored.
         } else if (length <= 2) {
-            byte[] headBytes = line.toByteArray();
-            if (length == 1 || headBytes[lineStart] != '\r') {
+            if (length == 1 || line.get(lineStart) != '\r') {
                 throw new MalformedMessageException(400, "a line ends without a carriage return");
             }
-            headComplete(Arrays.copyOf(headBytes, lineStart));
+            byte[] headBytes = Arrays.copyOf(line.trimmed(), lineStart);
+            line.release();
+            headComplete(headBytes);
         } else {
             lineStart = line.size();
         }
@@ -228,7 +233,6 @@
     }
 
     private void headComplete(byte[] bytes) throws MalformedMessageException {
-        line = new ByteArrayOutputStream(32);
         lineStart = 0;
         MessageHead parsed = new MessageHead(bytes, request);
         String version = request ? (parsed.start.length == 3 ? parsed.start[2] : "") : parsed.start[0];
@@ -262,6 +266,7 @@
         } else if (length != null) {
             remaining = number(length, 10);
             contentLength = remaining;
+            body.expectSize((int) remaining);
             if (remaining > maxBodyBytes) {
                 throw new MalformedMessageException(413, "a body over " + maxBodyBytes + " bytes");
             }
--- a/balancer/src/main/java/gorsestack/wire/MessageHead.java
+++ b/balancer/src/main/java/gorsestack/wire/MessageHead.java
@@ -110,6 +110,11 @@
         return text.chars().allMatch(c -> (c >= ' ' && c <= '~') || c == '\t');
     }
 
+    /** Returns the number of bytes of the head as received. */
+    int size() {
+        return bytes.length;
+    }
+
     /** Returns the field's value, or null if it is absent. The values of a repeated field are joined by commas, as in RFC 9110. */
     public String field(String name) {
         String found = null;
--- a/balancer/src/main/java/gorsestack/wire/Request.java
+++ b/balancer/src/main/java/gorsestack/wire/Request.java
@@ -17,6 +17,7 @@
 public record Request(MessageHead head, byte[] body, BodyRelay upload, String id, String product, long remainingNanos) {
 
     private static final int MAX_ID_LENGTH = 200;
+    private static final byte[] NO_BODY = new byte[0];
 
     /** Validates a message as an API call. */
     static Request of(MessageHead head, byte[] body, BodyRelay upload) throws MalformedMessageException {
@@ -55,6 +56,11 @@
         return "1".equals(head.field("x-repeat"));
     }
 
+    /** Returns this request without its body, which occupies no memory then; for a call that will have no further attempt. */
+    public Request withoutBody() {
+        return new Request(head, NO_BODY, null, id, product, remainingNanos);
+    }
+
     /**
      * Checks that method and key fit the product's retry safety, as an upstream concludes from them whether a call may be retried. Returns
      * null if they do, and the error to respond with otherwise.
--- a/balancer/src/test/java/gorsestack/settings/LimitsTest.java
+++ b/balancer/src/test/java/gorsestack/settings/LimitsTest.java
@@ -36,6 +36,8 @@
         assertEquals(37748736L, limits.buffer().streamedBodyBytes());
         assertEquals(65536, limits.buffer().relayBytes());
         assertEquals(6291456, limits.buffer().totalRelayBytes());
+        assertEquals(8388608, limits.buffer().totalRequestBytes());
+        assertEquals(4096, limits.buffer().smallRequestBytes());
         assertEquals(1048576, limits.buffer().unroutedBodyBytes());
         assertEquals(262144, limits.buffer().bufferedResponseBytes());
         assertEquals(8, limits.buffer().maxBufferedResponses());
@@ -97,6 +99,8 @@
         assertEquals(37748736L, limits.buffer().streamedBodyBytes());
         assertEquals(65536, limits.buffer().relayBytes());
         assertEquals(6291456, limits.buffer().totalRelayBytes());
+        assertEquals(8388608, limits.buffer().totalRequestBytes());
+        assertEquals(4096, limits.buffer().smallRequestBytes());
         assertEquals(1048576, limits.buffer().unroutedBodyBytes());
         assertEquals(262144, limits.buffer().bufferedResponseBytes());
         assertEquals(8, limits.buffer().maxBufferedResponses());
