A relayed body resumes its source when it ends, so the next message there is read

Cause: BodyRelay pauses its source when over 64 KiB wait for the target. If the last piece does so, the relay ends while paused, and targetSent resumes nothing once it has ended. ClientRequestReader.uploadPaused stays set: all later bytes are queued as if they were sent ahead, nothing parses the queue, and giveUpIfOverdue leaves a paused upload alone.

Change: all ends of a relay go through BodyRelay.end, which resumes the source; the pause belongs to the relay alone. Reading of the socket is resumed with the end of the body.

--- a/balancer/src/main/java/gorsestack/wire/BodyRelay.java
+++ b/balancer/src/main/java/gorsestack/wire/BodyRelay.java
@@ -92,8 +92,19 @@
         if (complete) {
             finish();
         } else {
-            sourcePaused = false;
-            source.pauseBody(false);
+            pauseSource(false);
+        }
+    }
+
+    /** Pauses the source until the first target is attached. */
+    void awaitTarget() {
+        pauseSource(true);
+    }
+
+    private void pauseSource(boolean paused) {
+        if (sourcePaused != paused) {
+            sourcePaused = paused;
+            source.pauseBody(paused);
         }
     }
 
@@ -108,7 +119,7 @@
         target = null;
         if (!ended) {
             sourcePaused = true;
-            source.pauseBody(true);
+            source.pauseBody(true); // Also if it is paused already: it may read ahead further without a target.
         }
     }
 
@@ -143,9 +154,8 @@
             source.bodyNotReplayable();
         }
         write(bytes);
-        if (!sourcePaused && target.unsent() > budget.relayLimit()) {
-            sourcePaused = true;
-            source.pauseBody(true);
+        if (target.unsent() > budget.relayLimit()) {
+            pauseSource(true);
         }
     }
 
@@ -160,9 +170,8 @@
 
     /** Records that a write to the target has been sent, and resumes the source once no more than half of the limit is unsent. */
     void targetSent() {
-        if (sourcePaused && !ended && target != null && target.unsent() <= budget.relayLimit() / 2) {
-            sourcePaused = false;
-            source.pauseBody(false);
+        if (!ended && target != null && target.unsent() <= budget.relayLimit() / 2) {
+            pauseSource(false);
         }
     }
 
@@ -200,11 +209,13 @@
         }
     }
 
+    /** Ends the relay. The source is resumed: nobody would do so later, and its connection goes on with the next message. */
     private void end() {
         if (!ended) {
             ended = true;
             prefix = null;
             budget.relayEnded();
+            pauseSource(false);
         }
     }
 }
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -202,7 +202,7 @@
                     && parser.bodyBytes() > limits.buffer().bodyBytes()) {
                 upload = new BodyRelay(parser.contentLength(), parser.body(), handler.bufferBudget(), this);
                 parser.streamTo(upload::relay);
-                pauseBody(true);
+                upload.awaitTarget();
                 connection.handle(parser.head(), new byte[0], upload, lastByteAt);
             }
             countBytes();
@@ -250,9 +250,11 @@
         if (overflowed && !connection.closedOrEnding() && !connection.inCall() && readAhead.isEmpty()) {
             connection.end(CloseReason.SENT_TOO_MUCH); // The bytes that followed were discarded.
         }
+        // Behind the end of the body nothing else resumes reading before the response, and a disconnect would not be
+        // seen.
         if (readingSuspended
-                && uploading()
-                && readAhead.totalBytes() <= handler.bufferBudget().relayLimit() / 2) {
+                && (!uploading()
+                        || readAhead.totalBytes() <= handler.bufferBudget().relayLimit() / 2)) {
             resumeReading();
         }
     }
@@ -276,7 +278,6 @@
         if (upload != null) {
             upload.fail();
             upload = null;
-            uploadPaused = false;
         }
         readAhead.clear();
         releaseRequest();
@@ -295,7 +296,6 @@
 
     /** Reads and discards the rest of a request that has its response early. */
     void discardRest() {
-        uploadPaused = false;
         resumeReading();
         readAhead.drainTo(this::discard);
     }
--- a/balancer/src/test/java/gorsestack/proxy/LargeBodyTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/LargeBodyTest.java
@@ -229,6 +229,79 @@
         expectResponse(200, client);
     }
 
+    /**
+     * Guards against a call that is never forwarded nor answered: the last piece of the body before it made the client's connection pause,
+     * and nothing resumed it.
+     */
+    @Test
+    void readsTheNextCallAfterAnUploadWhoseLastPiecePausedIt() throws IOException {
+        for (String framing : List.of("Content-Length: 150000", "Transfer-Encoding: chunked")) {
+            boolean chunked = framing.endsWith("chunked");
+            String body = numberedBody(150_000);
+            String lastPiece = piece(body, 70_000, body.length(), chunked) + (chunked ? "0\r\n\r\n" : "");
+            DispatcherRig rig = DispatcherRig.withUpstreams(1);
+            FakeSocket client = rig.client();
+            client.send(request("once", "c1").replace("Content-Length: 2\r\n\r\nhi", framing + "\r\n\r\n")
+                    + piece(body, 0, 70_000, chunked));
+            FakeSocket upstream = rig.lastUsed();
+            upstream.unsentBytes = 100_000;
+            upstream.stalled = true;
+            client.send(lastPiece);
+            upstream.unsentBytes = 0;
+            upstream.stalled = false;
+            for (int writes = chunked ? 2 : 1; writes > 0; writes--) {
+                rig.execute(upstream.handler()::sent);
+            }
+            rig.runPending();
+            upstream.sendOk("done");
+            expectResponse(200, client);
+            rig.advance(20);
+            client.send(request("read", "c2"));
+            assertTrue(rig.lastUsed().output.contains("X-Correlation-Id: c2\r\n"), "the next call is forwarded");
+            rig.lastUsed().sendOk("found");
+            expectResponse(200, client);
+        }
+    }
+
+    /** Guards against a pooled connection that is never read again: the last piece of a large response made it pause. */
+    @Test
+    void readsTheNextResponseAfterOneWhoseLastPiecePausedIt() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        FakeSocket client = rig.client();
+        client.send(request("read", "c1"));
+        FakeSocket upstream = rig.lastUsed();
+        upstream.send("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + "y".repeat(300_000));
+        client.unsentBytes = 100_000;
+        upstream.send("y".repeat(100_000));
+        assertTrue(client.output.endsWith("\r\n\r\n" + "y".repeat(400_000)));
+        rig.advance(20);
+        FakeSocket other = rig.client();
+        other.send(request("read", "c2"));
+        assertEquals(upstream, rig.lastUsed(), "the connection is reused");
+        assertFalse(upstream.readingSuspended, "the next response on the connection is read");
+    }
+
+    /** Guards against a client whose disconnect is not seen, as its connection is not read behind the end of its body. */
+    @Test
+    void readsOnBehindAnUploadThatSuspendedReading() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        FakeSocket client = rig.client();
+        client.send(largeRequest("c1", 400_000, 70_000));
+        FakeSocket upstream = rig.lastUsed();
+        upstream.unsentBytes = 100_000;
+        upstream.stalled = true;
+        while (!client.readingSuspended) {
+            client.send("x".repeat(15_000));
+        }
+        client.send("x".repeat(400_000 - 70_000 - 90_000) + request("read", "c2"));
+        upstream.unsentBytes = 0;
+        upstream.stalled = false;
+        rig.execute(upstream.handler()::sent);
+        rig.runPending();
+        assertTrue(upstream.output.endsWith("\r\n\r\n" + "x".repeat(400_000)), "the body is complete");
+        assertFalse(client.readingSuspended);
+    }
+
     /** Returns a body in which each place can be told from every other. */
     private static String numberedBody(int length) {
         StringBuilder body = new StringBuilder(length);
