A new discovery that takes over 1.2 s to answer after SIGHUP is followed

Cause: firstUpdateTimeoutNanos was 1.2 s, a figure beside the formula of the other timings, and each watch on the new address began anew with it.

Change: it follows from the formula, 4 s after SIGHUP less jitter, response and slow core: 2.25 s. A watch after one that timed out waits as long as an ordinary one, 4.25 s.

Measured: these tests, DiscoveryWatchStatesTest and the checks pass.

--- a/balancer/src/main/java/gorsestack/settings/DiscoveryTimings.java
+++ b/balancer/src/main/java/gorsestack/settings/DiscoveryTimings.java
@@ -15,8 +15,9 @@
  *     tens of them on a loaded core. An agent that pushes lists runs on this host.
  * @param maxRetryDelayNanos the longest delay before a retry, from which the time already lost is subtracted. If lists are pushed, the
  *     drain grace has to cover the refused connect, the retry and the response, and no other balancer polls that agent.
- * @param firstUpdateTimeoutNanos the longest time until the first update of a new watch. A reload has to be complete 4 s after SIGHUP;
- *     the timeout is long enough for a response and short enough for a retry.
+ * @param firstUpdateTimeoutNanos the longest time until the first update of the first watch on a new address. An update there has to be
+ *     in effect 4 s after SIGHUP: a watch that gets no response leaves time for a second one, and one whose response takes the longest
+ *     time that discovery takes for a call, 2 s, is followed.
  */
 public record DiscoveryTimings(
         long watchSilenceNanos,
@@ -26,6 +27,8 @@
         long firstUpdateTimeoutNanos) {
 
     private static final long UPDATE_DEADLINE_NANOS = TimeUnit.MILLISECONDS.toNanos(6_000);
+    /** The time after SIGHUP by which what the new discovery has must be in effect. */
+    private static final long MOVE_DEADLINE_NANOS = TimeUnit.MILLISECONDS.toNanos(4_000);
     /** The time in which a reachable discovery accepts a connection and sends its first line. */
     private static final long RESPONSE_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
     /** The delay of reads and timers on a slow core. */
@@ -44,7 +47,7 @@
         long maxRetryDelayNanos = pushed
                 ? Math.max(reconnectJitterNanos, drainGraceNanos - RESPONSE_NANOS - TIMER_DELAY_NANOS)
                 : UPDATE_DEADLINE_NANOS - RESPONSE_NANOS - TIMER_DELAY_NANOS;
-        long firstUpdateTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(1_200);
+        long firstUpdateTimeoutNanos = MOVE_DEADLINE_NANOS - reconnectJitterNanos - RESPONSE_NANOS - TIMER_DELAY_NANOS;
         return new DiscoveryTimings(
                 watchSilenceNanos,
                 reconnectJitterNanos,
--- a/balancer/src/main/java/gorsestack/wire/DiscoveryWatch.java
+++ b/balancer/src/main/java/gorsestack/wire/DiscoveryWatch.java
@@ -1,5 +1,6 @@
 package gorsestack.wire;
 
+import gorsestack.settings.DiscoveryTimings;
 import gorsestack.settings.Limits;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -289,8 +290,12 @@
             long soon = now + backoff.shortDelay(); // Drawn in each case, so that the order of random draws is fixed.
             if (moving) {
                 // The list of the new discovery counts as delivered seconds after the move, so its address is tried
-                // again until it delivers the list.
-                candidate = new Watch(target, knownIndex, limits.discovery().firstUpdateTimeoutNanos());
+                // again until it delivers the list. With a shorter timeout for each try, a discovery that takes longer
+                // for its first line would never be followed.
+                boolean slow = now - startedAt >= silenceTimeout;
+                DiscoveryTimings timings = limits.discovery();
+                candidate = new Watch(
+                        target, knownIndex, slow ? timings.watchSilenceNanos() : timings.firstUpdateTimeoutNanos());
                 eventLoop.at(soon, candidate::start);
             } else if (candidate != null) {
                 return; // No new connection to the old address: the candidate is already under way.
