--- a/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -33,11 +33,8 @@
 
     private final EventLoop eventLoop;
     private final Limits limits;
-    private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
-        Thread thread = new Thread(task, "io");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ExecutorService threads =
+            Executors.newCachedThreadPool(new CriticalThreadFactory("io", Runtime.getRuntime()::halt));
     private final SocketProcessor processor = new SocketProcessor(threads);
     private final BoundedAcceptor acceptor;
     private boolean stopped;
