--- a/balancer/src/test/java/gorsestack/server/BalancerServerTest.java
+++ b/balancer/src/test/java/gorsestack/server/BalancerServerTest.java
@@ -7,6 +7,7 @@
 
 import gorsestack.proxy.EventLoopThread;
 import gorsestack.settings.Limits;
+import gorsestack.testing.BalancerCommand;
 import gorsestack.wire.Channel;
 import gorsestack.wire.ConnectionHandler;
 import gorsestack.wire.MinaNetwork;
@@ -19,6 +20,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -190,19 +192,10 @@
                                                 ? "\"state\": \"" + folder.resolve("kept") + "\", \"seed\""
                                                 : "\"seed\""));
             }
-            Process check = new ProcessBuilder(
-                            Path.of(System.getProperty("java.home"), "bin", "java")
-                                    .toString(),
-                            "-Xlog:class+load",
-                            "-cp",
-                            System.getProperty("java.class.path"),
-                            "gorsestack.Main",
-                            "serve",
-                            "--check",
-                            "--config",
-                            file.toString())
-                    .redirectErrorStream(true)
-                    .start();
+            List<String> command = BalancerCommand.serve("-Xlog:class+load");
+            command.addAll(List.of("--check", "--config", file.toString()));
+            Process check =
+                    new ProcessBuilder(command).redirectErrorStream(true).start();
             String out = new String(check.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertEquals(0, check.waitFor(), out);
             assertEquals(stateConfigured, out.contains("gorsestack.recovery."), stateConfigured + "");
--- a/balancer/src/test/java/gorsestack/server/ProcessLifecycleTest.java
+++ b/balancer/src/test/java/gorsestack/server/ProcessLifecycleTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gorsestack.testing.BalancerCommand;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -60,15 +61,9 @@
     }
 
     private Process run(Path config, String signals) throws IOException {
-        ProcessBuilder run = new ProcessBuilder(
-                "env",
-                signals,
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "gorsestack.Main",
-                "serve");
+        List<String> command = BalancerCommand.serve("-XX:+UseSerialGC");
+        command.addAll(0, List.of("env", signals));
+        ProcessBuilder run = new ProcessBuilder(command);
         run.environment().put("ROUTER_CONFIG", config.toString());
         Process process = run.redirectErrorStream(true)
                 .redirectOutput(folder.resolve("log").toFile())
--- a/balancer/src/test/java/gorsestack/server/StatusFormatTest.java
+++ b/balancer/src/test/java/gorsestack/server/StatusFormatTest.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import gorsestack.testing.BalancerCommand;
 import gorsestack.testing.Fixture;
 import java.io.IOException;
 import java.net.DatagramSocket;
@@ -11,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -96,14 +98,9 @@
     @Test
     void statusKeysMatchStoredForm() throws Exception {
         int port = freePort();
-        ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp",
-                System.getProperty("java.class.path"),
-                "gorsestack.Main",
-                "serve",
-                "--config",
-                configuration(port).toString());
+        List<String> command = BalancerCommand.serve();
+        command.addAll(List.of("--config", configuration(port).toString()));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(key -> key.startsWith("ROUTER_"));
         Process balancer = builder.redirectErrorStream(true)
                 .redirectOutput(folder.resolve("log").toFile())
--- a/balancer/src/test/java/gorsestack/server/UpgradeTest.java
+++ b/balancer/src/test/java/gorsestack/server/UpgradeTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.net.httpserver.HttpServer;
+import gorsestack.testing.BalancerCommand;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -62,14 +63,7 @@
     }
 
     private Process run(Path config, Path temporary, int mgmt, String memory) throws Exception {
-        ProcessBuilder run = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                memory,
-                "-XX:+UseSerialGC",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "gorsestack.Main",
-                "serve");
+        ProcessBuilder run = new ProcessBuilder(BalancerCommand.serve(memory, "-XX:+UseSerialGC"));
         run.environment().put("ROUTER_CONFIG", config.toString());
         run.environment().put("ROUTER_MGMT", "127.0.0.1:" + mgmt);
         run.environment().put("TMPDIR", temporary.toString());
