LinkTest: a connection that a closing listener resets is waited out; closed ones stay closed

A drop closes the listener; a connection that the kernel has put into its backlog is reset, and connect() with a time-out reports that if the reset comes before it looks at the result.

It still fails unless connects time out within 2000 tries, and any other error fails it, so the test asks for as much as before.

FaultyListener.close() left the retry that binds the black hole, which then held the address for good. The listener now stays closed.

--- a/lab/src/main/java/gorsestack/lab/net/FaultyListener.java
+++ b/lab/src/main/java/gorsestack/lab/net/FaultyListener.java
@@ -45,6 +45,7 @@
     private ServerSocketChannel blackHole;
     private final List<java.nio.channels.SocketChannel> backlogFillers = new ArrayList<>();
     private boolean open;
+    private boolean closed;
     private int bindFailures;
 
     /**
@@ -108,8 +109,8 @@
      * selector has run once more.
      */
     private void openBlackHole(int remainingAttempts) {
-        if (link.reachable() || blackHole != null) {
-            return; // The state of the link has changed since this attempt was scheduled.
+        if (closed || link.reachable() || blackHole != null) {
+            return; // The state of the listener or of the link has changed since this attempt was scheduled.
         }
         try {
             openBlackHole();
@@ -195,10 +196,11 @@
         }
     }
 
-    /** Stops listening, and resets all connections of the link. */
+    /** Stops listening for good, whatever happens to the link, and resets all connections of the link. */
     @Override
     public void close() {
         open = false;
+        closed = true;
         if (listener != null) {
             listener.close();
         }
--- a/lab/src/test/java/gorsestack/lab/net/LinkTest.java
+++ b/lab/src/test/java/gorsestack/lab/net/LinkTest.java
@@ -11,10 +11,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -34,6 +36,9 @@
     /** The folder of the lock files of all labs on this machine; with another one the test could reserve a running lab's network. */
     private static final Path LOCK_FOLDER = Path.of(System.getProperty("java.io.tmpdir"));
 
+    /** The time within which the address of a listener that drops packets has been bound; there is an attempt each millisecond. */
+    private static final int BLACK_HOLE_OPEN_MILLIS = 50;
+
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final SplittableRandom random = new SplittableRandom(1);
@@ -91,31 +96,54 @@
         return socket;
     }
 
+    /** How an attempt to connect ends. */
+    private enum ConnectOutcome {
+        ACCEPTED,
+        REFUSED,
+        /** The connection was in the backlog of a listener that closes, which resets it; connect() itself may report that. */
+        RESET,
+        TIMED_OUT
+    }
+
+    private ConnectOutcome tryConnect(int timeout) throws IOException {
+        try {
+            connect(timeout).close();
+            return ConnectOutcome.ACCEPTED;
+        } catch (ConnectException e) {
+            return ConnectOutcome.REFUSED;
+        } catch (SocketTimeoutException e) {
+            return ConnectOutcome.TIMED_OUT;
+        } catch (SocketException e) {
+            assertTrue(e.getMessage().contains("reset"), e.toString());
+            return ConnectOutcome.RESET;
+        }
+    }
+
     /** Waits until connections are accepted; they may be refused for some milliseconds. */
     private void awaitConnectable() throws Exception {
         for (int tries = 0; ; tries++) {
-            try {
-                connect(3000).close();
+            ConnectOutcome outcome = tryConnect(3000);
+            if (outcome == ConnectOutcome.ACCEPTED) {
                 return;
-            } catch (java.net.ConnectException e) {
-                assertTrue(tries < 2000, e.toString());
-                Thread.sleep(1);
             }
+            assertEquals(ConnectOutcome.REFUSED, outcome);
+            assertTrue(tries < 2000, "connections are still refused after 2000 tries");
+            Thread.sleep(1);
         }
     }
 
-    /** Waits until connections time out; they may still be accepted or refused until the address is free. */
+    /** Waits until connections time out; they may still be accepted, reset or refused until the address is free. */
     private void awaitUnreachable() throws Exception {
         for (int tries = 0; tries < 2000; tries++) {
-            try {
-                connect(300).close();
-            } catch (java.net.ConnectException e) {
-                Thread.sleep(1);
-            } catch (SocketTimeoutException e) {
+            ConnectOutcome outcome = tryConnect(300);
+            if (outcome == ConnectOutcome.TIMED_OUT) {
                 return;
             }
+            if (outcome == ConnectOutcome.REFUSED) {
+                Thread.sleep(1);
+            }
         }
-        throw new AssertionError("connections are still accepted or refused after 2000 tries");
+        throw new AssertionError("connections are still accepted, reset or refused after 2000 tries");
     }
 
     private static void send(Socket socket, String text) throws IOException {
@@ -227,20 +255,26 @@
         onLoop(() -> listener.refuse(true));
         boolean refused = false;
         for (int tries = 0; tries < 2000 && !refused; tries++) {
-            try {
-                connect(1000).close();
-            } catch (java.net.ConnectException e) {
-                refused = true;
-            } catch (java.net.SocketException e) {
-                // The connection was in the backlog of the closing listener, which resets it instead of refusing it.
-                assertTrue(e.getMessage().contains("reset"), e.toString());
-            }
+            ConnectOutcome outcome = tryConnect(1000);
+            assertNotEquals(ConnectOutcome.TIMED_OUT, outcome);
+            refused = outcome == ConnectOutcome.REFUSED;
         }
         assertTrue(refused);
         onLoop(() -> listener.open());
         awaitConnectable();
     }
 
+    /** Guards against an address that stays occupied for the next listener because a drop was about to begin when this one closed. */
+    @Test
+    void closedListenerFreesItsAddressDespiteDrop() throws Exception {
+        onLoop(() -> {
+            link.drop(link.forward, true);
+            listener.close();
+        });
+        Thread.sleep(BLACK_HOLE_OPEN_MILLIS);
+        assertEquals(ConnectOutcome.REFUSED, tryConnect(300));
+    }
+
     @Test
     void reservesDifferentNetworkForEachReservation() throws Exception {
         try (Addresses other = Addresses.reserve(LOCK_FOLDER)) {
