Clients that do not read are bounded together; slow steady readers get their whole answer

Cause: the next call sent ahead began once the answer before it was queued, and queued answers had no bound; all calls sent ahead of one connection were handled in one task, each immediate answer queuing another one. Progress was a whole write sent, while the system takes bytes only once a third of its send buffer, grown to some MB, is free.

Change: ClientResponseWriter counts unsent bytes in BufferBudget (8 MiB, totalResponseBytes); past that connections whose clients have read nothing for longest are closed (log line response_memory_exhausted). While over 64 KiB wait no further call sent ahead begins. Progress is what the system has taken (Channel.sentBytes), with the time that a reader at 64 kB/s needs for it, 1 MiB at most, before the 5 s begin. Send buffer of clients' connections: 128 KiB. One call sent ahead is handled a task, one task a connection. ClosePriority is an enum.

Evidence: the four tests of UnreadResponsesTest failed before (99 answers queued instead of 2; 9,426,594 bytes of 7 clients; the reader closed after 1 read; a stopped one kept). LimitsTest lists the two new limits; drop() has its reason as an argument in two tests.

--- a/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
+++ b/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
@@ -1,12 +1,15 @@
 package gorsestack.proxy;
 
+import gorsestack.invariant.CloseReason;
 import gorsestack.settings.Limits;
 import gorsestack.wire.BufferBudget;
 import gorsestack.wire.ClientConnection;
+import gorsestack.wire.ClosePriority;
 import gorsestack.wire.EventLoop;
 import gorsestack.wire.MalformedMessageException;
 import gorsestack.wire.Network;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -20,10 +23,6 @@
  */
 public final class ClientConnectionManager {
     private static final System.Logger LOG = System.getLogger("gorsestack.client");
-    /** The number of priorities at which connections are closed, lowest first; see {@link ClientConnection#closePriority()}. */
-    private static final int CLOSABLE_PRIORITIES = 3;
-    /** The priority of connections that have been idle for long after an earlier request. */
-    private static final int IDLE_PRIORITY = 2;
 
     private final EventLoop eventLoop;
     private final Limits limits;
@@ -35,6 +34,8 @@
     private boolean closing;
     private boolean evacuating;
     private Runnable onAllClosed;
+    /** Number of connections closed since the last sweep because their clients do not read while responses occupy too much memory. */
+    private int closedStalledReaders;
 
     ClientConnectionManager(EventLoop eventLoop, Limits limits, Network network, BufferBudget bufferBudget) {
         this.eventLoop = eventLoop;
@@ -42,6 +43,7 @@
         this.network = network;
         this.bufferBudget = bufferBudget;
         bufferBudget.reclaimRequestsBy(this::rejectStalledRequests);
+        bufferBudget.reclaimResponsesBy(this::closeStalledReaders);
         maxConnections = limits.client().maxConnections();
     }
 
@@ -87,8 +89,8 @@
     /** Closes connections over the limit. Prevents clients that are idle or never send a call from excluding those that do. */
     private void enforceLimit() {
         int excess = open.size() - maxConnections;
-        for (int priority = 0; priority < CLOSABLE_PRIORITIES && excess > 0; priority++) {
-            excess -= closeOldest(priority, excess);
+        for (ClosePriority priority : EnumSet.complementOf(EnumSet.of(ClosePriority.KEEP))) {
+            excess -= closeOldest(priority, Math.max(0, excess));
         }
         if (excess > 0 && !limitCheckScheduled) {
             limitCheckScheduled = true;
@@ -100,7 +102,7 @@
     }
 
     /** Closes up to {@code maxCount} connections of one priority, the oldest first, and returns how many. */
-    private int closeOldest(int priority, int maxCount) {
+    private int closeOldest(ClosePriority priority, int maxCount) {
         List<ClientConnection> chosen = open.stream()
                 .filter(connection -> connection.closePriority() == priority)
                 .limit(maxCount)
@@ -127,6 +129,34 @@
         }
     }
 
+    /**
+     * Closes connections whose clients do not read, first those that have read nothing for longest, until the responses that wait to be
+     * sent occupy no more memory than they may. Without this, some hundred clients that send calls and read nothing would use up the heap.
+     */
+    private void closeStalledReaders() {
+        while (bufferBudget.responsesExceedLimit()) {
+            ClientConnection stalled = open.stream()
+                    .filter(connection -> connection.responseStalledSince() < Long.MAX_VALUE)
+                    .min(Comparator.comparingLong(ClientConnection::responseStalledSince))
+                    .orElse(null);
+            if (stalled == null) {
+                return;
+            }
+            closedStalledReaders++;
+            stalled.drop(CloseReason.STALLED);
+        }
+    }
+
+    private void logClosedStalledReaders() {
+        if (closedStalledReaders > 0) {
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "response_memory_exhausted connections_closed={0}",
+                    closedStalledReaders);
+            closedStalledReaders = 0;
+        }
+    }
+
     private void logRefusedRequests() {
         int refused = bufferBudget.getAndResetRefused();
         if (refused > 0) {
@@ -198,11 +228,12 @@
     void sweep() {
         eventLoop.execute(() -> {
             List.copyOf(open).forEach(ClientConnection::giveUpIfOverdue);
-            closeOldest(IDLE_PRIORITY, Math.max(0, open.size() - maxConnections / 2));
+            closeOldest(ClosePriority.IDLE, Math.max(0, open.size() - maxConnections / 2));
             if (closing) {
                 closeIdle(connection -> true);
             }
             logRefusedRequests();
+            logClosedStalledReaders();
         });
     }
 }
--- a/balancer/src/main/java/gorsestack/server/JvmWarmUp.java
+++ b/balancer/src/main/java/gorsestack/server/JvmWarmUp.java
@@ -191,6 +191,11 @@
                 return 0;
             }
 
+            @Override
+            public long sentBytes() {
+                return 0;
+            }
+
             @Override
             public void close() {
                 if (!closed) {
--- a/balancer/src/main/java/gorsestack/settings/BufferLimits.java
+++ b/balancer/src/main/java/gorsestack/settings/BufferLimits.java
@@ -12,6 +12,8 @@
  *     their response: under a quarter of the heap
  * @param smallRequestBytes the size up to which a request is accepted even if the total is exceeded: with as many such requests as
  *     clients may have connections, a twentieth of the heap
+ * @param totalResponseBytes the bytes that may wait to be sent to all clients together, those of relayed bodies included: under a
+ *     quarter of the heap
  * @param unroutedBodyBytes the body bytes that are read before an upstream has been found, so that a disconnect of the client is
  *     detected; some milliseconds of reading, and a third of what the bodies of all such messages together may hold
  * @param bufferedResponseBytes the largest response that is buffered until it is complete
@@ -20,6 +22,8 @@
  * @param readAheadBytes the bytes that may have been read from one connection before the event loop handles them. Without a limit, 60 MB
  *     that arrive at full speed would exceed the heap.
  * @param totalReadAheadBytes the same for all connections together: a tenth of the heap
+ * @param sendBufferBytes the system's send buffer of a client's connection. The system takes more only once a third of it is free, so that
+ *     with a larger one a slow reader would seem to have stopped.
  * @param discardBytes the bytes that are read and dropped while waiting for the other side to close; some milliseconds of reading
  * @param discoveryLineBytes the longest line that is accepted from discovery
  */
@@ -31,11 +35,13 @@
         int totalRelayBytes,
         int totalRequestBytes,
         int smallRequestBytes,
+        int totalResponseBytes,
         int unroutedBodyBytes,
         int bufferedResponseBytes,
         int maxBufferedResponses,
         int readAheadBytes,
         long totalReadAheadBytes,
+        int sendBufferBytes,
         int discardBytes,
         int discoveryLineBytes) {
 
@@ -51,11 +57,13 @@
         int totalRelayBytes = 6 * MIB;
         int totalRequestBytes = 8 * MIB;
         int smallRequestBytes = 4 * KIB;
+        int totalResponseBytes = 8 * MIB;
         int unroutedBodyBytes = MIB;
         int bufferedResponseBytes = 256 * KIB;
         int maxBufferedResponses = 8;
         int readAheadBytes = 48 * KIB;
         long totalReadAheadBytes = 4L * MIB;
+        int sendBufferBytes = 128 * KIB;
         int discardBytes = 8 * MIB;
         int discoveryLineBytes = 4 * MIB;
         return new BufferLimits(
@@ -66,11 +74,13 @@
                 totalRelayBytes,
                 totalRequestBytes,
                 smallRequestBytes,
+                totalResponseBytes,
                 unroutedBodyBytes,
                 bufferedResponseBytes,
                 maxBufferedResponses,
                 readAheadBytes,
                 totalReadAheadBytes,
+                sendBufferBytes,
                 discardBytes,
                 discoveryLineBytes);
     }
--- a/balancer/src/main/java/gorsestack/wire/BufferBudget.java
+++ b/balancer/src/main/java/gorsestack/wire/BufferBudget.java
@@ -4,8 +4,8 @@
 
 /**
  * Bounds the memory of all messages in flight: how much of each large body may wait to be sent, how much may be read before there is a
- * target for it, and how much the requests of all clients together may occupy. Shared by all connections; used on the event loop's thread
- * only.
+ * target for it, and how much the requests of all clients and the responses to them may occupy. Shared by all connections; used on the
+ * event loop's thread only.
  */
 public final class BufferBudget {
     /** Bytes that one body may always have waiting, however many bodies there are: a smaller buffer would stall each write. */
@@ -19,10 +19,13 @@
     private int readAheadBytes;
     /** Bytes that the requests of all clients occupy, those that are still arriving included. */
     private int requestBytes;
+    /** Bytes of responses that all clients together have not been sent yet. */
+    private long responseBytes;
     /** Number of requests refused for lack of memory since the last call of {@link #getAndResetRefused}. */
     private int refusedRequests;
 
     private Runnable reclaimRequests = () -> {};
+    private Runnable reclaimResponses = () -> {};
 
     /** Creates a budget with nothing reserved. */
     public BufferBudget(Limits limits) {
@@ -88,6 +91,27 @@
         refusedRequests++;
     }
 
+    /** Sets the action that closes connections whose clients do not read until {@link #responsesExceedLimit} is false. */
+    public void reclaimResponsesBy(Runnable action) {
+        reclaimResponses = action;
+    }
+
+    /**
+     * Counts bytes that wait to be sent to a client or, with a negative number, no longer do. If they exceed the limit, connections whose
+     * clients do not read are closed, among them perhaps the one whose bytes are being counted.
+     */
+    void addResponseBytes(long change) {
+        responseBytes += change;
+        if (change > 0 && responsesExceedLimit()) {
+            reclaimResponses.run();
+        }
+    }
+
+    /** Returns whether the responses that wait to be sent to clients occupy more memory than they may. */
+    public boolean responsesExceedLimit() {
+        return responseBytes > limits.buffer().totalResponseBytes();
+    }
+
     /** Returns the number of requests refused for lack of memory since the last call. */
     public int getAndResetRefused() {
         int count = refusedRequests;
--- a/balancer/src/main/java/gorsestack/wire/Channel.java
+++ b/balancer/src/main/java/gorsestack/wire/Channel.java
@@ -27,6 +27,9 @@
     /** Returns the bytes that have been written and not sent yet. */
     long unsent();
 
+    /** Returns how many bytes the system has taken to send so far, those of writes that are not sent whole included. */
+    long sentBytes();
+
     /**
      * Returns whether the peer may still be connected: false once the socket knows that the peer has ended its stream or reset the
      * connection, or that this side has closed it.
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -21,13 +21,6 @@
         ENDING
     }
 
-    /** Priorities for closing connections when there are too many; see {@link #closePriority}. */
-    private static final int CLOSE_FIRST = 0;
-
-    private static final int CLOSE_NEVER_USED = 1;
-    private static final int CLOSE_IDLE = 2;
-    private static final int KEEP = 9;
-
     private static final System.Logger LOG = System.getLogger("gorsestack.client");
     /** Number of client connections that this process has opened so far. */
     private static long connectionCount;
@@ -37,6 +30,7 @@
     private final EventLoop eventLoop;
     private final ClientTimings timings;
     private final ClientRequestReader reader;
+    private final ClientResponseWriter writer;
     private Channel channel;
     private State state = State.IDLE;
     private boolean hasRequested;
@@ -60,6 +54,7 @@
         this.handler = handler;
         timings = new ClientTimings(limits);
         reader = new ClientRequestReader(limits, eventLoop, this, handler, timings);
+        writer = new ClientResponseWriter(limits, eventLoop, handler.bufferBudget());
     }
 
     /** Changes the state, except from {@code ENDING}, which is final. */
@@ -86,6 +81,7 @@
     public void opened(Channel openedBy) {
         channel = openedBy;
         reader.opened(openedBy);
+        writer.opened(openedBy);
         number = ++connectionCount; // Only the event loop's thread opens connections.
         timings.opened(eventLoop.now());
         handler.opened(this);
@@ -126,7 +122,7 @@
         reader.abortRequest();
         enter(State.IN_CALL);
         lingering = true;
-        channel.write(Response.own(e.status, "", e.getMessage()).bytes(true));
+        writer.write(Response.own(e.status, "", e.getMessage()).bytes(true));
         responseOwed = false;
         end(CloseReason.BAD_REQUEST);
     }
@@ -142,6 +138,7 @@
     private void abort(CloseReason reason) {
         enter(State.ENDING);
         closeReason = closeReason == null ? reason : closeReason;
+        writer.closed();
         channel.close();
     }
 
@@ -151,7 +148,7 @@
         hasRequested = true;
         lastResponse = head.start[2].equals("HTTP/1.0") || head.hasToken("connection", "close");
         if (head.start[1].equals("/_health")) {
-            respond(health());
+            respond(Response.health(handler.ready(), handler.recoveryPhase()));
             return;
         }
         try {
@@ -172,12 +169,6 @@
         }
     }
 
-    private Response health() {
-        String phase = handler.recoveryPhase();
-        String text = (handler.ready() ? "ready" : "not ready") + (phase.isEmpty() ? "" : "; " + phase);
-        return Response.own(handler.ready() ? 200 : 503, "", text);
-    }
-
     /** Sends the response to the open call; does nothing if no call is open. */
     public void respond(Response response) {
         if (closed || !inCall()) {
@@ -192,7 +183,7 @@
             respondEarly(response);
             return;
         }
-        channel.write(response.bytes(lastResponse));
+        writer.write(response.bytes(lastResponse));
         download = response.rest();
         responseOwed = download != null;
         if (download != null) {
@@ -208,19 +199,19 @@
         lingering = true;
         closeReason = CloseReason.ANSWERED_EARLY;
         reader.failUpload();
-        channel.write(response.bytes(true));
+        writer.write(response.bytes(true));
         responseOwed = false;
         reader.discardRest();
     }
 
     @Override
     public void writeBody(byte[] bytes) {
-        channel.write(bytes);
+        writer.write(bytes);
     }
 
     @Override
     public long unsent() {
-        return channel.unsent();
+        return writer.unsent();
     }
 
     /**
@@ -247,9 +238,7 @@
         reader.nextRequest();
         enter(State.IDLE);
         if (reader.hasReadAhead()) {
-            // This runs as a separate task: hundreds of requests sent ahead, each with an immediate response, would be
-            // parsed in nested calls and overflow the stack.
-            eventLoop.execute(reader::parseReadAhead);
+            reader.scheduleParse();
         } else if (reader.pipelining() && handler.closing()) {
             closeIfIdle();
         }
@@ -261,10 +250,10 @@
      */
     public void giveUpIfOverdue() {
         long now = eventLoop.now();
-        if (download != null && timings.responseStalled(now)) {
+        if (!ending() && writer.stalled(now)) {
             drop(CloseReason.STALLED);
         }
-        if (ending() && reader.hasUpload() && timings.discardStalled(now) && channel.unsent() == 0) {
+        if (ending() && reader.hasUpload() && timings.discardStalled(now) && writer.unsent() == 0) {
             abort(CloseReason.ANSWERED_EARLY);
         }
         if (ending() || (inCall() && !reader.uploading()) || reader.uploadPaused()) {
@@ -277,28 +266,24 @@
         }
     }
 
-    /** Returns the priority for being closed when there are too many, lowest first: lingering, never used, idle; 9 for one to keep. */
-    public int closePriority() {
+    /** Returns the priority for being closed when there are too many connections. */
+    public ClosePriority closePriority() {
         long now = eventLoop.now();
-        if (lingering && channel.unsent() == 0) {
-            return CLOSE_FIRST;
+        if (lingering && writer.unsent() == 0) {
+            return ClosePriority.LINGERING;
         }
         // A connection that is ending and does not linger is kept: its last response may not have been sent yet.
         if (state != State.IDLE || timings.justOpened(now)) {
-            return KEEP;
+            return ClosePriority.KEEP;
         }
         if (!hasRequested) {
-            return CLOSE_NEVER_USED;
+            return ClosePriority.NEVER_USED;
         }
-        return !reader.begun() && timings.idleForLong(now) ? CLOSE_IDLE : KEEP;
+        return !reader.begun() && timings.idleForLong(now) ? ClosePriority.IDLE : ClosePriority.KEEP;
     }
 
     /** Closes the connection at once; an open call is given up. */
-    public void drop() {
-        drop(CloseReason.SHUTDOWN);
-    }
-
-    private void drop(CloseReason reason) {
+    public void drop(CloseReason reason) {
         if (inCall()) {
             handler.clientDisconnected(this);
         }
@@ -318,7 +303,7 @@
     /** Ends the connection at shutdown: gives up an open call, closes an idle connection gracefully, lets a begun response finish. */
     public void endForShutdown() {
         if (inCall() && download == null) {
-            drop();
+            drop(CloseReason.SHUTDOWN);
         } else if (!ending() && download == null) {
             end(CloseReason.SHUTDOWN);
         }
@@ -347,6 +332,16 @@
         return closedOrEnding() ? Long.MAX_VALUE : reader.stalledSince();
     }
 
+    /** Returns since when the client has read nothing of responses that wait to be sent; Long.MAX_VALUE if there are none. */
+    public long responseStalledSince() {
+        return closed ? Long.MAX_VALUE : writer.stalledSince();
+    }
+
+    /** Returns whether a request that was sent ahead must wait, as the client does not read the responses to earlier ones. */
+    boolean responsesWait() {
+        return writer.congested();
+    }
+
     /** Closes the connection between calls, unless a request has begun; the socket decides, as one may be read just now. */
     public void closeIfIdle() {
         if (state == State.IDLE && !reader.begun() && !reader.hasReadAhead()) {
@@ -362,9 +357,11 @@
     @Override
     public void sent() {
         timings.progressed(eventLoop.now());
+        writer.sent();
         if (download != null) {
             download.targetSent();
         }
+        reader.responsesSent();
     }
 
     private CloseReason effectiveCloseReason() {
@@ -386,6 +383,7 @@
         if (channel == null) {
             return;
         }
+        writer.closed();
         handler.ended(this, effectiveCloseReason(), responseOwed);
         if (inCall()) {
             handler.clientDisconnected(this);
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -32,6 +32,12 @@
     /** Whether more was sent ahead than is buffered: the rest is discarded, and the connection ends after the buffered requests. */
     private boolean overflowed;
 
+    /** Whether requests sent ahead wait until the client has read responses to earlier ones. */
+    private boolean waitsForClient;
+
+    /** Whether a task that parses what was sent ahead is queued on the event loop. */
+    private boolean parseScheduled;
+
     private boolean readingSuspended;
     /** Bytes of the request being read, or of the open one, that are counted in the budget. */
     private int countedBytes;
@@ -111,6 +117,20 @@
         return uploadPaused;
     }
 
+    /** Returns whether the next request must not begin yet, as the client does not read the responses to earlier ones. */
+    private boolean mustWaitForClient() {
+        waitsForClient = !parser.begun() && connection.responsesWait();
+        return waitsForClient;
+    }
+
+    /** Goes on with requests that wait until the client has read responses, if it has. */
+    void responsesSent() {
+        if (waitsForClient && !connection.responsesWait()) {
+            waitsForClient = false;
+            scheduleParse();
+        }
+    }
+
     /** Parses bytes that have arrived, or queues them if they cannot be parsed yet. */
     void received(byte[] bytes, long readAt) {
         lastByteAt = readAt;
@@ -120,7 +140,7 @@
                 return;
             }
             enqueue(bytes, readAt);
-        } else if (uploadPaused || !readAhead.isEmpty()) {
+        } else if (uploadPaused || !readAhead.isEmpty() || mustWaitForClient()) {
             enqueue(bytes, readAt);
         } else {
             parse(bytes);
@@ -169,7 +189,7 @@
         uploadPaused = paused;
         timings.progressed(eventLoop.now());
         if (!paused && !readAhead.isEmpty()) {
-            eventLoop.execute(this::parseReadAhead);
+            scheduleParse();
         } else if (paused && readingSuspended && mayReadAhead()) {
             resumeReading(); // The target has failed: more may be read ahead until the next one is attached.
         }
@@ -235,13 +255,26 @@
         }
     }
 
+    /**
+     * Parses what was sent ahead, in a task of its own. Of hundreds of requests, each with an immediate response, only one is handled in
+     * each task: nested calls would overflow the stack, and other connections have their turn in between.
+     */
+    void scheduleParse() {
+        if (!parseScheduled) {
+            parseScheduled = true;
+            eventLoop.execute(this::parseReadAhead);
+        }
+    }
+
     /**
      * Parses what was sent ahead, as far as possible. By rule 1 a request that was sent ahead was accepted when its last byte was read, not
      * when it is parsed.
      */
-    void parseReadAhead() {
-        while (!connection.closedOrEnding()
-                && (uploading() ? !uploadPaused : !connection.inCall())
+    private void parseReadAhead() {
+        parseScheduled = false;
+        while (!parseScheduled
+                && !connection.closedOrEnding()
+                && (uploading() ? !uploadPaused : !connection.inCall() && !mustWaitForClient())
                 && !readAhead.isEmpty()) {
             ReadAheadQueue.Piece piece = readAhead.removeFirst();
             lastByteAt = piece.readAt();
--- a/balancer/src/main/java/gorsestack/wire/ClientTimings.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientTimings.java
@@ -41,11 +41,6 @@
         idleSince = now;
     }
 
-    /** Returns whether a response that is being relayed to the client has made no progress for too long. */
-    boolean responseStalled(long now) {
-        return now - lastProgressAt >= limits.upstream().streamStallTimeoutNanos();
-    }
-
     /** Returns whether the rest of a request that already has its response has stopped arriving. */
     boolean discardStalled(long now) {
         return now - lastProgressAt >= limits.client().stallTimeoutNanos();
--- a/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -70,6 +70,7 @@
         created.setReuseAddress(true);
         created.setCloseOnDeactivation(false);
         configure(created.getSessionConfig());
+        created.getSessionConfig().setSendBufferSize(limits.buffer().sendBufferBytes());
         return created;
     }
 
--- a/balancer/src/main/java/gorsestack/wire/Response.java
+++ b/balancer/src/main/java/gorsestack/wire/Response.java
@@ -32,6 +32,12 @@
                 null);
     }
 
+    /** Creates the response to a health check, which names the phase of the recovery unless that is empty. */
+    static Response health(boolean ready, String recoveryPhase) {
+        String text = (ready ? "ready" : "not ready") + (recoveryPhase.isEmpty() ? "" : "; " + recoveryPhase);
+        return own(ready ? 200 : 503, "", text);
+    }
+
     /**
      * Returns the bytes to be sent.
      *
--- a/balancer/src/main/java/gorsestack/wire/SessionChannel.java
+++ b/balancer/src/main/java/gorsestack/wire/SessionChannel.java
@@ -84,6 +84,11 @@
         return session.getScheduledWriteBytes();
     }
 
+    @Override
+    public long sentBytes() {
+        return session.getWrittenBytes();
+    }
+
     @Override
     public boolean hasUnhandledInput() {
         return readCount != handledCount;
--- a/balancer/src/test/java/gorsestack/proxy/FakeSocket.java
+++ b/balancer/src/test/java/gorsestack/proxy/FakeSocket.java
@@ -20,6 +20,10 @@
     boolean readingSuspended;
     boolean discardsInput;
     long unsentBytes;
+    /** Whether the peer reads nothing by itself: what is written waits until {@link #readByPeer}. */
+    boolean peerStopped;
+
+    private long sentBytes;
 
     FakeSocket(DispatcherRig rig, ConnectionHandler handler, InetSocketAddress remoteAddress) {
         super(rig.eventLoop, handler, false);
@@ -32,7 +36,9 @@
         if (open) {
             output += new String(bytes, StandardCharsets.ISO_8859_1);
             rig.recordUse(this);
-            if (!stalled) {
+            if (peerStopped) {
+                unsentBytes += bytes.length;
+            } else if (!stalled) {
                 eventLoop.execute(handler::sent);
             }
         }
@@ -43,6 +49,22 @@
         return unsentBytes;
     }
 
+    @Override
+    public long sentBytes() {
+        return sentBytes;
+    }
+
+    /** Has the system take this many of the bytes that wait, as the peer has read as many. */
+    void readByPeer(long bytes) {
+        long taken = Math.min(bytes, unsentBytes);
+        unsentBytes -= taken;
+        sentBytes += taken;
+        if (unsentBytes == 0) {
+            eventLoop.execute(handler::sent);
+            rig.runPending();
+        }
+    }
+
     @Override
     public void close() {
         queueDisconnect();
--- a/balancer/src/test/java/gorsestack/proxy/MaintenanceTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/MaintenanceTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gorsestack.admin.Handover;
+import gorsestack.invariant.CloseReason;
 import gorsestack.wire.ClientConnection;
 import java.io.IOException;
 import org.junit.jupiter.api.Test;
@@ -77,7 +78,7 @@
                         .path("violations.close")
                         .asInt(-1));
         client.send(request("read", "c2"));
-        ((ClientConnection) client.handler()).drop();
+        ((ClientConnection) client.handler()).drop(CloseReason.SHUTDOWN);
         rig.runPending();
         assertEquals(
                 1,
--- /dev/null
+++ b/balancer/src/test/java/gorsestack/proxy/UnreadResponsesTest.java
@@ -0,0 +1,153 @@
+package gorsestack.proxy;
+
+import static gorsestack.proxy.DispatcherRig.expectResponse;
+import static gorsestack.proxy.HttpMessages.ok;
+import static gorsestack.proxy.HttpMessages.request;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests clients that do not read their responses. Guards against some hundred of them that use up the heap together, and against a client
+ * that reads slowly and steadily and is taken for one of them.
+ */
+class UnreadResponsesTest {
+    private static final int CLIENTS = 300;
+    private static final int PIPELINED_REQUESTS = 200;
+    private static final String BODY = "y".repeat(60_000);
+    /** The bound for the responses of all clients, and one response beside it. */
+    private static final long MAX_UNSENT_BYTES = (8L << 20) + BODY.length() + 1_000;
+    /** The largest part of a message that one read returns. */
+    private static final int READ_BYTES = 16_000;
+    /** The time after which a client that reads nothing is disconnected. */
+    private static final int STALL_TIMEOUT_MILLIS = 5_000;
+
+    private static FakeSocket clientThatReadsNothing(DispatcherRig rig) {
+        FakeSocket client = rig.client();
+        client.peerStopped = true;
+        return client;
+    }
+
+    private static String pipelinedRequests(String id) {
+        StringBuilder requests = new StringBuilder();
+        for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+            requests.append(request("read", id + "-" + i));
+        }
+        return requests.toString();
+    }
+
+    private static void send(FakeSocket socket, String text) {
+        for (int begin = 0; begin < text.length(); begin += READ_BYTES) {
+            socket.send(text.substring(begin, Math.min(text.length(), begin + READ_BYTES)));
+        }
+    }
+
+    /** Has the upstreams respond to each call that is open; returns how many there were. */
+    private static int respondToOpenCalls(DispatcherRig rig) {
+        int responses = 0;
+        for (FakeSocket upstream : rig.upstreamConnections()) {
+            if (upstream.open() && !upstream.takeOutput().isEmpty()) {
+                upstream.send(ok(BODY));
+                responses++;
+            }
+        }
+        return responses;
+    }
+
+    /** Guards against requests that are all processed although the client reads none of the responses. */
+    @Test
+    void beginsNoFurtherPipelinedRequestWhileResponsesWait() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        FakeSocket client = clientThatReadsNothing(rig);
+        send(client, pipelinedRequests("c"));
+        int responses = 0;
+        while (respondToOpenCalls(rig) > 0) {
+            responses++;
+            rig.advance(20);
+        }
+        assertEquals(2, responses, "the first two responses exceed what may wait");
+        client.readByPeer(2L * BODY.length());
+        client.peerStopped = false;
+        client.readByPeer(Long.MAX_VALUE);
+        while (respondToOpenCalls(rig) > 0) {
+            responses++;
+            rig.advance(20);
+        }
+        assertTrue(client.open());
+        assertEquals(PIPELINED_REQUESTS + 1, client.output.split("HTTP/1.1 ", -1).length);
+        // With no time left, the rest is answered by the balancer itself.
+        assertTrue(responses > 2, responses + " responses");
+    }
+
+    /** Guards against clients that use up the heap together, each below its own limit. */
+    @Test
+    void closesConnectionsOfClientsThatReadNothingWhenResponsesOccupyTooMuchMemory() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(4);
+        List<FakeSocket> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            FakeSocket client = clientThatReadsNothing(rig);
+            clients.add(client);
+            send(client, pipelinedRequests("c" + i));
+            for (int rounds = 0; rounds < 4; rounds++) {
+                respondToOpenCalls(rig);
+            }
+            long unsentBytes = clients.stream()
+                    .filter(FakeSocket::open)
+                    .mapToLong(FakeSocket::unsent)
+                    .sum();
+            assertTrue(unsentBytes <= MAX_UNSENT_BYTES, unsentBytes + " bytes of " + (i + 1) + " clients wait");
+            rig.advance(10);
+        }
+        assertTrue(clients.get(CLIENTS - 1).open(), "the client that has stopped last is closed last");
+        FakeSocket usual = rig.client();
+        usual.send(request("once", "usual"));
+        rig.lastUsed().sendOk("done");
+        expectResponse(200, usual);
+        rig.advance(STALL_TIMEOUT_MILLIS + 500);
+        assertTrue(clients.stream().noneMatch(FakeSocket::open), "none stays for good");
+        FakeSocket reading = rig.client();
+        reading.peerStopped = true;
+        reading.send(request("read", "reading"));
+        respondToOpenCalls(rig);
+        assertTrue(reading.open(), "what was counted has been given back");
+    }
+
+    /** Guards against a slow reader that is disconnected because no single write is sent whole within the time. */
+    @Test
+    void keepsAClientOfWhoseResponseTheSystemTakesSomeBytes() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        FakeSocket client = clientThatReadsNothing(rig);
+        client.send(request("read", "c1"));
+        FakeSocket upstream = rig.lastUsed();
+        upstream.send("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + "y".repeat(10_000));
+        upstream.send("y".repeat(290_000));
+        assertTrue(upstream.readingSuspended);
+        for (int i = 0; i < 10; i++) {
+            rig.advance(STALL_TIMEOUT_MILLIS - 300);
+            assertTrue(client.open(), "after " + i + " reads");
+            client.readByPeer(20_000);
+        }
+        rig.advance(STALL_TIMEOUT_MILLIS - 300);
+        assertTrue(client.open());
+        rig.advance(1_200);
+        assertFalse(client.open(), "the client has stopped");
+    }
+
+    /** Prevents a complete response from being held for good for a client that has stopped. */
+    @Test
+    void disconnectsAClientThatReadsNothingOfACompleteResponse() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        FakeSocket client = clientThatReadsNothing(rig);
+        client.send(request("read", "c1"));
+        respondToOpenCalls(rig);
+        rig.advance(STALL_TIMEOUT_MILLIS - 300);
+        assertTrue(client.open());
+        rig.advance(600);
+        assertFalse(client.open());
+    }
+}
--- a/balancer/src/test/java/gorsestack/settings/LimitsTest.java
+++ b/balancer/src/test/java/gorsestack/settings/LimitsTest.java
@@ -38,6 +38,8 @@
         assertEquals(6291456, limits.buffer().totalRelayBytes());
         assertEquals(8388608, limits.buffer().totalRequestBytes());
         assertEquals(4096, limits.buffer().smallRequestBytes());
+        assertEquals(8388608, limits.buffer().totalResponseBytes());
+        assertEquals(131072, limits.buffer().sendBufferBytes());
         assertEquals(1048576, limits.buffer().unroutedBodyBytes());
         assertEquals(262144, limits.buffer().bufferedResponseBytes());
         assertEquals(8, limits.buffer().maxBufferedResponses());
@@ -101,6 +103,8 @@
         assertEquals(6291456, limits.buffer().totalRelayBytes());
         assertEquals(8388608, limits.buffer().totalRequestBytes());
         assertEquals(4096, limits.buffer().smallRequestBytes());
+        assertEquals(8388608, limits.buffer().totalResponseBytes());
+        assertEquals(131072, limits.buffer().sendBufferBytes());
         assertEquals(1048576, limits.buffer().unroutedBodyBytes());
         assertEquals(262144, limits.buffer().bufferedResponseBytes());
         assertEquals(8, limits.buffer().maxBufferedResponses());
--- a/balancer/src/test/java/gorsestack/wire/ClientConnectionStatesTest.java
+++ b/balancer/src/test/java/gorsestack/wire/ClientConnectionStatesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gorsestack.decision.Settings;
+import gorsestack.invariant.CloseReason;
 import gorsestack.settings.Limits;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -133,7 +134,7 @@
                 }
                 case CLOSE_IF_IDLE -> {
                     if (dropsWhenIdle) {
-                        connection.drop();
+                        connection.drop(CloseReason.SHUTDOWN);
                     } else {
                         connection.closeIfIdle();
                     }
--- a/balancer/src/test/java/gorsestack/wire/FakeChannel.java
+++ b/balancer/src/test/java/gorsestack/wire/FakeChannel.java
@@ -61,6 +61,11 @@
         return 0;
     }
 
+    @Override
+    public long sentBytes() {
+        return 0;
+    }
+
     @Override
     public void close() {
         open = false;
