An operator's order that seems to change nothing is compared with the file first

Cause: AdminServer compared an order with what the process remembers; the other process's orders are read every 0.2 s.

Change: an order that seems to change nothing, or whose upstream is unknown, reads the file first (Handover.readOrders) and is compared again. One that changes something by what is remembered applies at once as before, also while the disk doesn't answer.

Evidence: AdminServerTest.followsAnOrderDirectlyAfterOneToTheOtherProcess fails before ("the later order applies") and passes now, with AdminRepliesFormatTest, HandoverTest and StatusFormatTest.

--- a/balancer/src/main/java/gorsestack/admin/AdminServer.java
+++ b/balancer/src/main/java/gorsestack/admin/AdminServer.java
@@ -202,10 +202,26 @@
             respond.accept(Response.own(BAD_REQUEST, "", "an id that cannot be read"));
             return;
         }
-        boolean inMaintenance = maintenance.getOrDefault(id, 0L) == Handover.NOT_ENDED;
-        if (!inMaintenance && !balancer.isListed(id)) {
+        if (maintenanceOrdered == inMaintenance(id) || !isKnown(id)) {
+            // Another process of this balancer may have been given an order that this one has not read yet.
+            handover.readOrders(() -> giveOrder(id, maintenanceOrdered, respond));
+        } else {
+            giveOrder(id, maintenanceOrdered, respond);
+        }
+    }
+
+    private boolean inMaintenance(String id) {
+        return maintenance.getOrDefault(id, 0L) == Handover.NOT_ENDED;
+    }
+
+    private boolean isKnown(String id) {
+        return inMaintenance(id) || balancer.isListed(id);
+    }
+
+    private void giveOrder(String id, boolean maintenanceOrdered, Consumer<Response> respond) {
+        if (!isKnown(id)) {
             respond.accept(notFound("no such upstream"));
-        } else if (maintenanceOrdered == inMaintenance) {
+        } else if (maintenanceOrdered == inMaintenance(id)) {
             String text = maintenanceOrdered ? "out already" : "was not out";
             handover.confirmSaved(saved -> respond.accept(acknowledgement(saved, text)));
         } else {
--- a/balancer/src/main/java/gorsestack/admin/Handover.java
+++ b/balancer/src/main/java/gorsestack/admin/Handover.java
@@ -352,6 +352,18 @@
         });
     }
 
+    /**
+     * Reads the orders that another process of this balancer has stored since the last check, and passes them to the listener.
+     *
+     * @param onRead called on the event loop's thread afterwards, also if the file cannot be read
+     */
+    public void readOrders(Runnable onRead) {
+        thread.execute(() -> {
+            guarded("read_orders", file::refresh);
+            eventLoop.execute(onRead);
+        });
+    }
+
     /** Reports whether all maintenance orders are on the disk. If they are not, the write is retried once first. */
     public void confirmSaved(Consumer<Boolean> onSaved) {
         thread.execute(() -> {
--- a/balancer/src/test/java/gorsestack/admin/AdminServerTest.java
+++ b/balancer/src/test/java/gorsestack/admin/AdminServerTest.java
@@ -183,6 +183,29 @@
         assertTrue(Files.readString(folder.resolve("gorsestack-n1.state")).contains("2.0E-9"));
     }
 
+    /** Guards against an order that is refused by what the process remembers, as the other process was given one just before. */
+    @Test
+    void followsAnOrderDirectlyAfterOneToTheOtherProcess() throws Exception {
+        String upstream = "PUT /upstreams/s%2F1%20%C3%A9+/";
+        start();
+        InetSocketAddress oldProcess = address;
+        assertEquals("200", call(upstream + "maint"));
+        start();
+        InetSocketAddress newProcess = address;
+        address = oldProcess;
+        assertEquals("200", call(upstream + "ready"));
+        address = newProcess;
+        assertEquals("200", call(upstream + "maint"));
+        assertEquals(Handover.NOT_ENDED, maintenance.get("s/1 é+"), "the later order applies");
+        maintenance.clear();
+        start();
+        assertEquals("200", call("GET /healthcheck"));
+        assertEquals(Handover.NOT_ENDED, maintenance.get("s/1 é+"), "the next process restores the later order");
+        address = oldProcess;
+        assertEquals("200", call(upstream + "ready"));
+        assertTrue(maintenance.get("s/1 é+") < Handover.NOT_ENDED, "the later order applies");
+    }
+
     /** The next process restores all orders; from a damaged file, those that can be verified. */
     @Test
     void restoresOrdersInTheNextProcess() throws Exception {
