A task that fails ends its connection with a final answer instead of leaving it

What clients would see: a fault while a request is parsed or taken in was logged ("a task failed"), and the connection stayed open without an answer, as the call's safety timer had not been set yet.

Cause: EventLoopThread keeps the thread alive and knows nothing of connections.

Change: MinaNetwork and the task that parses requests sent ahead run under FailureGuard, which tells the handler (ConnectionHandler.failed) and lets the exception go on to the log. A client gets 502 and an orderly close, and its attempts are cancelled; any other connection is closed, so an attempt ends as with a broken connection and a watch is opened anew.

--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -68,13 +68,9 @@
         return state == State.IN_CALL;
     }
 
-    private boolean ending() {
-        return state == State.ENDING;
-    }
-
     /** Returns whether the connection has ended or is ending, so that no more requests are read. */
     boolean closedOrEnding() {
-        return closed || ending();
+        return closed || state == State.ENDING;
     }
 
     @Override
@@ -93,7 +89,7 @@
             return;
         }
         timings.progressed(eventLoop.now());
-        if (ending()) {
+        if (state == State.ENDING) {
             if (reader.hasUpload()) {
                 reader.discard(bytes);
             }
@@ -250,13 +246,13 @@
      */
     public void giveUpIfOverdue() {
         long now = eventLoop.now();
-        if (!ending() && writer.stalled(now)) {
+        if (state != State.ENDING && writer.stalled(now)) {
             drop(CloseReason.STALLED);
         }
-        if (ending() && reader.hasUpload() && timings.discardStalled(now) && writer.unsent() == 0) {
+        if (state == State.ENDING && reader.hasUpload() && timings.discardStalled(now) && writer.unsent() == 0) {
             abort(CloseReason.ANSWERED_EARLY);
         }
-        if (ending() || (inCall() && !reader.uploading()) || reader.uploadPaused()) {
+        if (state == State.ENDING || (inCall() && !reader.uploading()) || reader.uploadPaused()) {
             return;
         }
         if (reader.overdue(now)) {
@@ -304,7 +300,7 @@
     public void endForShutdown() {
         if (inCall() && download == null) {
             drop(CloseReason.SHUTDOWN);
-        } else if (!ending() && download == null) {
+        } else if (state != State.ENDING && download == null) {
             end(CloseReason.SHUTDOWN);
         }
     }
@@ -364,6 +360,14 @@
         reader.responsesSent();
     }
 
+    /** Ends the connection with an error response, after a fault of this program: its client would wait for a call that is lost. */
+    @Override
+    public void failed(Channel failedChannel) {
+        if (!closedOrEnding()) {
+            reject(new MalformedMessageException(502, "internal error"));
+        }
+    }
+
     private CloseReason effectiveCloseReason() {
         if (closeReason != null) {
             return closeReason;
@@ -376,11 +380,9 @@
 
     @Override
     public void closed() {
-        if (closed) {
-            return;
-        }
+        boolean neverOpenedOrClosed = closed || channel == null;
         closed = true;
-        if (channel == null) {
+        if (neverOpenedOrClosed) {
             return;
         }
         writer.closed();
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -262,7 +262,7 @@
     void scheduleParse() {
         if (!parseScheduled) {
             parseScheduled = true;
-            eventLoop.execute(this::parseReadAhead);
+            eventLoop.execute(() -> FailureGuard.run(this::parseReadAhead, () -> connection.failed(channel)));
         }
     }
 
--- a/balancer/src/main/java/gorsestack/wire/ConnectionHandler.java
+++ b/balancer/src/main/java/gorsestack/wire/ConnectionHandler.java
@@ -18,6 +18,11 @@
     /** Called when the peer has ended its stream in order; {@link #closed} follows. */
     default void ended() {}
 
+    /** Called when handling another event of the connection has thrown; ends the connection, and {@link #closed} follows. */
+    default void failed(Channel channel) {
+        channel.close();
+    }
+
     /**
      * Called when the connection could not be established for a reason on this machine (descriptors, buffers, addresses, routes); no other
      * event follows.
--- a/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -144,6 +144,14 @@
             }
         }
 
+        /** Runs a task of a connection on the event loop; if it fails, the connection ends. */
+        private void execute(IoSession session, Runnable task) {
+            Channel channel = (Channel) session.getAttribute(CHANNEL);
+            ConnectionHandler handler = handler(session);
+            eventLoop.execute(() ->
+                    FailureGuard.run(task, () -> FailureGuard.run(() -> handler.failed(channel), channel::close)));
+        }
+
         private ConnectionHandler handler(IoSession session) {
             return (ConnectionHandler) session.getAttribute(HANDLER);
         }
@@ -154,7 +162,7 @@
             SessionChannel channel = new SessionChannel(shared, (NioSession) session, handler);
             session.setAttribute(CHANNEL, channel);
             session.setAttribute(SocketProcessor.WATCHER, channel);
-            eventLoop.execute(() -> {
+            execute(session, () -> {
                 handler.opened(channel);
                 lingering.closeExcess();
             });
@@ -174,7 +182,7 @@
             ConnectionHandler handler = handler(session);
             channel.countRead();
             channel.addQueued(bytes.length);
-            eventLoop.execute(() -> {
+            execute(session, () -> {
                 channel.addQueued(-bytes.length);
                 channel.countHandled();
                 handler.received(bytes, readAt);
@@ -183,7 +191,7 @@
 
         @Override
         public void messageSent(IoSession session, Object message) {
-            eventLoop.execute(handler(session)::sent);
+            execute(session, handler(session)::sent);
         }
 
         @Override
@@ -193,7 +201,7 @@
 
         @Override
         public void inputClosed(IoSession session) {
-            eventLoop.execute(handler(session)::ended);
+            execute(session, handler(session)::ended);
             session.closeNow();
         }
 
