A response that ends with its stream does not count as a second response

Cause: UpstreamConnection.ended passed "more bytes follow" to have the connection closed.

Change: HttpParser says that the message ended with its stream, and the connection is closed for that.

Evidence: AttemptOutcomeTest.responseThatEndsWithItsStreamIsNoExcess fails before (3 connections for 2) and passes now, with UpstreamConnectionStatesTest, HttpParserTest and ResponseEndOrderingTest.

--- a/balancer/src/main/java/gorsestack/wire/HttpParser.java
+++ b/balancer/src/main/java/gorsestack/wire/HttpParser.java
@@ -44,6 +44,7 @@
 
     private long contentLength = -1;
     private long bodyBytes;
+    private boolean endedWithStream;
     /** Offset of the head's current line. */
     private int lineStart;
 
@@ -106,9 +107,15 @@
     void end() {
         if (state == State.UNTIL_CLOSE) {
             state = State.DONE;
+            endedWithStream = true;
         }
     }
 
+    /** Returns whether the message ended with the stream, so that no other one can follow on the connection. */
+    boolean endedWithStream() {
+        return endedWithStream;
+    }
+
     private void countBody(int bytes) throws MalformedMessageException {
         bodyBytes += bytes;
         if (bodyBytes > maxBodyBytes) {
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -237,10 +237,10 @@
         }
         if (!request.written()
                 || moreBytes
+                || parser.endedWithStream()
                 || head.hasToken("connection", "close")
                 || head.start[0].equals("HTTP/1.0")) {
-            close(); // Also detaches the rest of the request's body, which the next attempt must get from its first
-            // byte.
+            close(); // Detaches the rest of the request's body too; the next attempt gets it from its first byte.
         } else {
             upload = null;
             owner.becameIdle(this);
@@ -363,7 +363,7 @@
             if (!closed && expectsBytes()) {
                 parser.end();
                 if (parser.done()) {
-                    responseComplete(true);
+                    responseComplete(false);
                 }
             }
         } catch (MalformedMessageException e) {
--- a/balancer/src/test/java/gorsestack/proxy/AttemptOutcomeTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/AttemptOutcomeTest.java
@@ -12,6 +12,25 @@
 
 /** Tests how outcomes of attempts decide whether the call is retried elsewhere and whether the upstream counts as unhealthy. */
 class AttemptOutcomeTest {
+    /** Guards against an end of the stream that counts as a second response and lengthens the rest of the upstream's connections. */
+    @Test
+    void responseThatEndsWithItsStreamIsNoExcess() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        FakeSocket client = rig.client();
+        client.send(request("read", "c1"));
+        FakeSocket upstream = rig.lastUsed();
+        upstream.send("HTTP/1.1 200 OK\r\n\r\nhello");
+        rig.execute(upstream.handler()::ended);
+        upstream.queueDisconnect();
+        rig.runPending();
+        expectResponse(200, client);
+        client.send(request("read", "c2"));
+        rig.lastUsed().sendOk("second");
+        rig.advance(20);
+        client.send(request("read", "c3"));
+        assertEquals(2, rig.upstreamConnections().size(), "the second connection is reused after its usual rest");
+    }
+
     @Test
     void retriesAfterADisconnectOnlyIfTheRequestWasNotCompletelySent() throws IOException {
         DispatcherRig rig = DispatcherRig.withUpstreams(2);
