An id is refused while any call with it is open, also one whose own id has a suffix

Cause: CallTable.isOpen looked at the bare id, which the first call still had.

Change: calls that await their response are also kept by the id of their request.

Evidence: CallTableTest.findsAnOpenCallWhoseOwnIdHasASuffix fails before and passes now, with ClientRequestTest.

--- a/balancer/src/main/java/gorsestack/proxy/CallTable.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallTable.java
@@ -7,16 +7,19 @@
 import java.util.function.Consumer;
 
 /**
- * Holds the calls that are not finished, by id, and those that await their response also by their client's connection. Used by
- * {@link CallDispatcher} and its collaborators. Owned by the event loop's thread.
+ * Holds the calls that are not finished, by id, and those that await their response also by the id of their request and by their client's
+ * connection. Used by {@link CallDispatcher} and its collaborators. Owned by the event loop's thread.
  */
 final class CallTable {
     private final Map<String, ActiveCall> byId = new HashMap<>();
+    /** The calls that await their response, by the id that their request has. */
+    private final Map<String, ActiveCall> openByRequestId = new HashMap<>();
+
     private final Map<ClientConnection, ActiveCall> awaitingResponse = new HashMap<>();
 
-    /** Returns whether the call with this id awaits its response; does not find a call whose id has a suffix by its request id. */
+    /** Returns whether a call whose request has this id awaits its response, whether or not its own id has a suffix. */
     boolean isOpen(String requestId) {
-        ActiveCall call = byId.get(requestId);
+        ActiveCall call = openByRequestId.get(requestId);
         return call != null && !call.hasEnded();
     }
 
@@ -28,6 +31,7 @@
         }
         ActiveCall call = new ActiveCall(id, client, request);
         byId.put(id, call);
+        openByRequestId.put(request.id(), call);
         awaitingResponse.put(client, call);
         return call;
     }
@@ -44,7 +48,11 @@
 
     /** Removes the client's call that awaits a response from the table by client and returns it, or null; the table by id keeps it. */
     ActiveCall removeClient(ClientConnection client) {
-        return awaitingResponse.remove(client);
+        ActiveCall call = awaitingResponse.remove(client);
+        if (call != null) {
+            openByRequestId.remove(call.request().id(), call);
+        }
+        return call;
     }
 
     /** Removes the call if it is finished. */
--- a/balancer/src/test/java/gorsestack/proxy/CallTableTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/CallTableTest.java
@@ -53,6 +53,24 @@
         assertSame(second, calls.byId("c/2"));
     }
 
+    /** Guards against two open calls with one id: the table was asked for the bare id, which the first call still had. */
+    @Test
+    void findsAnOpenCallWhoseOwnIdHasASuffix() {
+        var firstClient = fixture.client();
+        ActiveCall first = calls.add(firstClient, CallFixture.request("c"));
+        first.attemptStarted(fixture.attempt(first, 100, Long.MAX_VALUE));
+        first.end(fixture);
+        calls.removeClient(firstClient);
+        assertFalse(calls.isOpen("c"));
+
+        var secondClient = fixture.client();
+        ActiveCall second = calls.add(secondClient, CallFixture.request("c"));
+        assertTrue(calls.isOpen("c"));
+        second.end(fixture);
+        calls.removeClient(secondClient);
+        assertFalse(calls.isOpen("c"));
+    }
+
     @Test
     void visitsOnlyCallsWithoutAResponse() {
         ActiveCall ended = calls.add(fixture.client(), CallFixture.request("a"));
