An upload whose upstream stops reading ends; its client had no answer as long as the connection lived

What callers would see: a large body that its upstream stops reading parks the call; the client's connection is not read meanwhile, so its close isn't seen either.

Cause: the time-out of 5 s for a body that is being forwarded was applied to answers only. A paused upload is passed over by the check of its client, and the call's deadline is set with the last byte of the body.

Change: SendStallDetector watches what the system takes of the body by the measure for clients (SendProgress, taken out of ClientResponseWriter); the attempt ends like a broken connection before its last byte, proven not run. The send buffer of 128 KiB holds for connections to upstreams too, since the system takes bytes more rarely with a larger one.

Evidence: LargeBodyTest.endsAnUploadWhoseUpstreamHasStoppedReading failed before ("the upstream has stopped ==> expected: <false> but was: <true>") and passes now; it also keeps an upstream that takes bytes after 4.7 s.

--- a/balancer/src/main/java/gorsestack/settings/BufferLimits.java
+++ b/balancer/src/main/java/gorsestack/settings/BufferLimits.java
@@ -22,7 +22,7 @@
  * @param readAheadBytes the bytes that may have been read from one connection before the event loop handles them. Without a limit, 60 MB
  *     that arrive at full speed would exceed the heap.
  * @param totalReadAheadBytes the same for all connections together: a tenth of the heap
- * @param sendBufferBytes the system's send buffer of a client's connection. The system takes more only once a third of it is free, so that
+ * @param sendBufferBytes the system's send buffer of a connection. The system takes more only once a third of it is free, so that
  *     with a larger one a slow reader would seem to have stopped.
  * @param discardBytes the bytes that are read and dropped while waiting for the other side to close; some milliseconds of reading
  * @param discoveryLineBytes the longest line that is accepted from discovery
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -246,7 +246,7 @@
      */
     public void giveUpIfOverdue() {
         long now = eventLoop.now();
-        if (state != State.ENDING && writer.stalled(now)) {
+        if (state != State.ENDING && writer.stalled()) {
             drop(CloseReason.STALLED);
         }
         if (state == State.ENDING && reader.hasUpload() && timings.discardStalled(now) && writer.unsent() == 0) {
--- a/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -70,12 +70,12 @@
         created.setReuseAddress(true);
         created.setCloseOnDeactivation(false);
         configure(created.getSessionConfig());
-        created.getSessionConfig().setSendBufferSize(limits.buffer().sendBufferBytes());
         return created;
     }
 
-    private static void configure(SocketSessionConfig config) {
+    private void configure(SocketSessionConfig config) {
         config.setTcpNoDelay(true);
+        config.setSendBufferSize(limits.buffer().sendBufferBytes());
         config.setMaxReadBufferSize(MAX_READ_BYTES);
         config.setIdleTime(IdleStatus.BOTH_IDLE, 0);
     }
--- a/balancer/src/main/java/gorsestack/wire/ResponseBuffering.java
+++ b/balancer/src/main/java/gorsestack/wire/ResponseBuffering.java
@@ -49,6 +49,13 @@
         return active;
     }
 
+    /** Returns how long a response that has begun may be silent, in nanoseconds. */
+    long stallTimeout(boolean relayed) {
+        return relayed || active
+                ? limits.upstream().streamStallTimeoutNanos()
+                : limits.upstream().responseStallTimeoutNanos();
+    }
+
     void release() {
         if (active) {
             active = false;
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -25,6 +25,7 @@
     private final UpstreamConnectionOwner owner;
     private final RequestProgress request = new RequestProgress();
     private final StallDetector stallDetector;
+    private final SendStallDetector sendStallDetector;
     private final ResponseBuffering buffering;
     private Channel channel;
     private HttpParser parser;
@@ -56,9 +57,17 @@
         this.owner = owner;
         this.upstream = upstream;
         this.address = address;
-        stallDetector = new StallDetector(
-                eventLoop, this::responseIncomplete, this::stallTimeout, () -> end(Outcome.MALFORMED_RESPONSE));
         buffering = new ResponseBuffering(limits, eventLoop, owner, this::stopBuffering);
+        stallDetector = new StallDetector(
+                eventLoop,
+                this::responseIncomplete,
+                () -> buffering.stallTimeout(download != null),
+                () -> end(Outcome.MALFORMED_RESPONSE));
+        sendStallDetector = new SendStallDetector(
+                limits,
+                eventLoop,
+                () -> !closed && upload != null && !request.written(),
+                () -> end(AttemptOutcomes.ofLostConnection(request)));
     }
 
     /** Opens the connection. */
@@ -101,6 +110,7 @@
     @Override
     public void writeBody(byte[] bytes) {
         request.writeQueued();
+        sendStallDetector.beforeWrite(channel);
         channel.write(bytes);
     }
 
@@ -274,12 +284,6 @@
         }
     }
 
-    private long stallTimeout() {
-        return download == null && !buffering.active()
-                ? limits.upstream().responseStallTimeoutNanos()
-                : limits.upstream().streamStallTimeoutNanos();
-    }
-
     /**
      * Cancels the attempt and closes its connection, so that a late response reaches nobody. A connection that is still being established
      * has carried nothing and may be kept for the next attempt.
@@ -313,8 +317,7 @@
                 channel.close();
                 owner.closed(this);
             }
-            // A connection that is being established counts as open until that succeeds or fails: a connect cannot be
-            // cancelled, and holds its descriptor until then.
+            // A connect cannot be cancelled: it holds its descriptor, and counts as open, until it succeeds or fails.
         }
     }
 
@@ -383,9 +386,7 @@
         owner.closed(this);
     }
 
-    /**
-     * Ends the attempt as not sent: a lack of descriptors, buffers or routes on this machine must not make every upstream look unhealthy.
-     */
+    /** Ends the attempt as not sent: a lack of descriptors or routes here must not make every upstream look unhealthy. */
     @Override
     public void connectFailedLocally() {
         end(Outcome.NOT_SENT);
--- a/balancer/src/test/java/gorsestack/proxy/LargeBodyTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/LargeBodyTest.java
@@ -13,6 +13,9 @@
 
 /** Tests the streaming of request and response bodies, and the limits of what is buffered. */
 class LargeBodyTest {
+    /** The time after which a peer that takes nothing of a body has stopped. */
+    private static final int STALL_TIMEOUT_MILLIS = 5_000;
+
     /** Returns the head of a request with a body of {@code length} bytes, and the first bytes of the body. */
     private static String largeRequest(String id, int length, int firstBytes) {
         return request("once", id).replace("Length: 2\r\n\r\nhi", "Length: " + length + "\r\n\r\n")
@@ -96,6 +99,28 @@
         assertFalse(client.open());
     }
 
+    /** Guards against an upload that waits for good for an upstream that has stopped reading. */
+    @Test
+    void endsAnUploadWhoseUpstreamHasStoppedReading() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        FakeSocket client = rig.client();
+        client.send(largeRequest("c1", 400_000, 70_000));
+        FakeSocket upstream = rig.lastUsed();
+        upstream.peerStopped = true;
+        while (!client.readingSuspended) {
+            client.send("x".repeat(15_000));
+        }
+        rig.advance(STALL_TIMEOUT_MILLIS - 300);
+        upstream.readByPeer(20_000);
+        rig.advance(STALL_TIMEOUT_MILLIS - 300);
+        assertTrue(upstream.open(), "the upstream reads slowly");
+        assertEquals("", client.output);
+        rig.advance(1_500);
+        assertFalse(upstream.open(), "the upstream has stopped");
+        // The upstream does not have the last byte, so the request has not run.
+        expectResponse(429, client);
+    }
+
     @Test
     void timesOutALargeRequestBodyThatStalls() throws IOException {
         DispatcherRig rig = DispatcherRig.withUpstreams(2);
