Stalled readers are closed in a task of their own, not within a decision of the policy

Past 8 MiB the connections of stalled readers were closed there, which notifies the policy of a disconnect while it decides, for this client or another one.

Change: BufferBudget asks for it, and ClientConnectionManager does it in a task of its own. Never landed, seen by no one; no test shows the nested call. UnreadResponses, ClientConnection*, Shutdown and LargeBody pass.

--- a/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
+++ b/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
@@ -37,13 +37,15 @@
     /** Number of connections closed since the last sweep because their clients do not read while responses occupy too much memory. */
     private int closedStalledReaders;
 
+    private boolean closingOfStalledReadersScheduled;
+
     ClientConnectionManager(EventLoop eventLoop, Limits limits, Network network, BufferBudget bufferBudget) {
         this.eventLoop = eventLoop;
         this.limits = limits;
         this.network = network;
         this.bufferBudget = bufferBudget;
         bufferBudget.reclaimRequestsBy(this::rejectStalledRequests);
-        bufferBudget.reclaimResponsesBy(this::closeStalledReaders);
+        bufferBudget.reclaimResponsesBy(this::scheduleClosingOfStalledReaders);
         maxConnections = limits.client().maxConnections();
     }
 
@@ -129,11 +131,20 @@
         }
     }
 
+    /** Runs in a task of its own: responses are written from within the policy's decisions, and closing a connection notifies the policy. */
+    private void scheduleClosingOfStalledReaders() {
+        if (!closingOfStalledReadersScheduled) {
+            closingOfStalledReadersScheduled = true;
+            eventLoop.execute(this::closeStalledReaders);
+        }
+    }
+
     /**
      * Closes connections whose clients do not read, first those that have read nothing for longest, until the responses that wait to be
      * sent occupy no more memory than they may. Without this, some hundred clients that send calls and read nothing would use up the heap.
      */
     private void closeStalledReaders() {
+        closingOfStalledReadersScheduled = false;
         while (bufferBudget.responsesExceedLimit()) {
             ClientConnection stalled = open.stream()
                     .filter(connection -> connection.responseStalledSince() < Long.MAX_VALUE)
--- a/balancer/src/main/java/gorsestack/wire/BufferBudget.java
+++ b/balancer/src/main/java/gorsestack/wire/BufferBudget.java
@@ -91,14 +91,14 @@
         refusedRequests++;
     }
 
-    /** Sets the action that closes connections whose clients do not read until {@link #responsesExceedLimit} is false. */
+    /** Sets the action that has connections closed whose clients do not read, until {@link #responsesExceedLimit} is false. */
     public void reclaimResponsesBy(Runnable action) {
         reclaimResponses = action;
     }
 
     /**
      * Counts bytes that wait to be sent to a client or, with a negative number, no longer do. If they exceed the limit, connections whose
-     * clients do not read are closed, among them perhaps the one whose bytes are being counted.
+     * clients do not read are closed a moment later, among them perhaps the one whose bytes are being counted.
      */
     void addResponseBytes(long change) {
         responseBytes += change;
--- a/balancer/src/main/java/gorsestack/wire/ClientResponseWriter.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientResponseWriter.java
@@ -28,7 +28,7 @@
         progress = new SendProgress(limits, eventLoop, openedBy);
     }
 
-    /** Queues bytes to be sent. May close this connection or others, if too many bytes wait in all. */
+    /** Queues bytes to be sent. If too many wait in all, this connection or others are closed a moment later. */
     void write(byte[] bytes) {
         progress.beforeWrite();
         channel.write(bytes);
