--- a/balancer/src/test/java/gorsestack/proxy/CallFixture.java
+++ b/balancer/src/test/java/gorsestack/proxy/CallFixture.java
@@ -46,11 +46,12 @@
         return new UpstreamAttempt(call, "u", now, deadline, sendBy, this, this);
     }
 
-    /** Returns an object of this type whose methods do nothing; a channel is open while {@link #clientOpen} is true. */
+    /** Returns an object of this type whose methods do nothing; a channel is open while {@link #clientOpen} is true, and has sent nothing. */
     private <T> T stub(Class<T> type) {
         Object proxy = Proxy.newProxyInstance(
                 type.getClassLoader(), new Class<?>[] {type}, (self, method, arguments) -> switch (method.getName()) {
                     case "open" -> clientOpen;
+                    case "unsent", "sentBytes" -> 0L;
                     case "toString" -> type.getSimpleName();
                     default -> null;
                 });
