An upload is not ended at once because its head still waits to be sent

The request's head waits already when its body is written, so on a connection of which the sockets' thread had not sent anything yet the time counted from 0, and the first check ended the attempt. The same could close a client whose 100 Continue waited.

Change: SendProgress counts from its creation and from each look at which nothing waits; SendStallDetector begins anew with each upload.

Evidence: LargeBodyTest.keepsAnUploadWhoseHeadStillWaits; it passes with UpgradeTest, UnreadResponses, SlowReader, UpstreamConnection*.

--- a/balancer/src/main/java/gorsestack/wire/SendProgress.java
+++ b/balancer/src/main/java/gorsestack/wire/SendProgress.java
@@ -19,7 +19,7 @@
     private final Channel channel;
     /** Number of bytes that the system had taken when this was last looked at. */
     private long sentBytes;
-    /** Time at which the system last took bytes, or at which the first of those that wait was written. */
+    /** Time at which the system last took bytes, or before which none of those that wait were written. */
     private long progressedAt;
     /** Time at which the slowest reader has read what the system has taken. */
     private long readBy;
@@ -29,6 +29,7 @@
         this.eventLoop = eventLoop;
         this.channel = channel;
         sentBytes = channel.sentBytes();
+        progressedAt = eventLoop.now();
     }
 
     /** Records that bytes are about to be queued. */
@@ -47,6 +48,8 @@
             long unread = Math.min(taken, MAX_SYSTEM_BUFFER_BYTES);
             long untilRead = Math.max(0, readBy - progressedAt) + unread * SLOWEST_READER_NANOS_PER_BYTE;
             readBy = progressedAt + Math.min(untilRead, MAX_SYSTEM_BUFFER_BYTES * SLOWEST_READER_NANOS_PER_BYTE);
+        } else if (channel.unsent() == 0) {
+            progressedAt = eventLoop.now();
         }
     }
 
--- a/balancer/src/main/java/gorsestack/wire/SendStallDetector.java
+++ b/balancer/src/main/java/gorsestack/wire/SendStallDetector.java
@@ -31,12 +31,10 @@
 
     /** Records that a part of the body is about to be queued, and begins to watch unless that has begun already. */
     void beforeWrite(Channel channel) {
-        if (progress == null) {
-            progress = new SendProgress(limits, eventLoop, channel);
-        }
-        progress.beforeWrite();
         if (!checkScheduled) {
             checkScheduled = true;
+            // The request's head may wait already, and the system may not have had the time to take it.
+            progress = new SendProgress(limits, eventLoop, channel);
             eventLoop.at(progress.stallsAt(), this::check);
         }
     }
--- a/balancer/src/test/java/gorsestack/proxy/LargeBodyTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/LargeBodyTest.java
@@ -99,6 +99,21 @@
         assertFalse(client.open());
     }
 
+    /** Guards against an upload that is ended at once because its head, written just before, still waits to be sent. */
+    @Test
+    void keepsAnUploadWhoseHeadStillWaits() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        rig.connectsAtOnce = false;
+        FakeSocket client = rig.client();
+        client.send(largeRequest("c1", 400_000, 70_000));
+        FakeSocket upstream = rig.lastUsed();
+        upstream.peerStopped = true;
+        upstream.connect();
+        rig.advance(STALL_TIMEOUT_MILLIS / 10);
+        assertTrue(upstream.open());
+        assertEquals("", client.output);
+    }
+
     /** Guards against an upload that waits for good for an upstream that has stopped reading. */
     @Test
     void endsAnUploadWhoseUpstreamHasStoppedReading() throws IOException {
