A client is not closed as stalled because its connection was idle before

Cause: SendProgress.stalled looked at its clock only while bytes waited, and the reader writes 100 Continue without telling it, so the time counted from before the idle time.

Change: each look updates the clock, also while nothing waits.

Evidence: UnreadResponsesTest.keepsAClientWhosePermissionToContinueWaitsAfterAnIdleTime failed before ("expected: <true> but was: <false>") and passes now, with SlowReaderTest and LargeBodyTest.

--- a/balancer/src/main/java/gorsestack/wire/SendProgress.java
+++ b/balancer/src/main/java/gorsestack/wire/SendProgress.java
@@ -67,6 +67,7 @@
 
     /** Returns whether bytes wait and the peer has stopped reading. */
     boolean stalled() {
+        update(); // Also while nothing waits, as the time is counted from the last such moment.
         return channel.unsent() > 0 && eventLoop.now() >= stallsAt();
     }
 }
--- a/balancer/src/test/java/gorsestack/proxy/UnreadResponsesTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/UnreadResponsesTest.java
@@ -138,6 +138,22 @@
         assertFalse(client.open(), "the client has stopped");
     }
 
+    /** Guards against a client that is disconnected because its connection was idle before this side's first bytes waited. */
+    @Test
+    void keepsAClientWhosePermissionToContinueWaitsAfterAnIdleTime() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        FakeSocket client = rig.client();
+        client.send(request("read", "c1"));
+        respondToOpenCalls(rig);
+        client.takeOutput();
+        rig.advance(2 * STALL_TIMEOUT_MILLIS);
+        client.peerStopped = true;
+        client.send("POST /once HTTP/1.1\r\nX-Correlation-Id: c2\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        assertTrue(client.output.startsWith("HTTP/1.1 100 "), client.output);
+        rig.advance(300);
+        assertTrue(client.open());
+    }
+
     /** Prevents a complete response from being held for good for a client that has stopped. */
     @Test
     void disconnectsAClientThatReadsNothingOfACompleteResponse() throws IOException {
