One search for the longest stalled connection, one stub of a request handler, one loop of reads

ClientRequestReader.closed only called abortRequest and goes. Behaviour and assertions are as they were; ClientConnectionStatesTest's handler keeps one budget in place of a new one each time.

--- a/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
+++ b/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * Holds the connections that clients opened: limits their number, chooses which are closed when it is exceeded, and closes all of them at
@@ -119,10 +120,7 @@
      */
     private void rejectStalledRequests() {
         while (bufferBudget.requestsExceedLimit()) {
-            ClientConnection stalled = open.stream()
-                    .filter(connection -> connection.requestStalledSince() < Long.MAX_VALUE)
-                    .min(Comparator.comparingLong(ClientConnection::requestStalledSince))
-                    .orElse(null);
+            ClientConnection stalled = longestStalled(ClientConnection::requestStalledSince);
             if (stalled == null) {
                 return;
             }
@@ -146,10 +144,7 @@
     private void closeStalledReaders() {
         closingOfStalledReadersScheduled = false;
         while (bufferBudget.responsesExceedLimit()) {
-            ClientConnection stalled = open.stream()
-                    .filter(connection -> connection.responseStalledSince() < Long.MAX_VALUE)
-                    .min(Comparator.comparingLong(ClientConnection::responseStalledSince))
-                    .orElse(null);
+            ClientConnection stalled = longestStalled(ClientConnection::responseStalledSince);
             if (stalled == null) {
                 return;
             }
@@ -158,6 +153,14 @@
         }
     }
 
+    /** Returns the connection with the earliest such time, or null if none is stalled; Long.MAX_VALUE stands for one that is not. */
+    private ClientConnection longestStalled(ToLongFunction<ClientConnection> stalledSince) {
+        return open.stream()
+                .filter(connection -> stalledSince.applyAsLong(connection) < Long.MAX_VALUE)
+                .min(Comparator.comparingLong(stalledSince))
+                .orElse(null);
+    }
+
     private void logClosedStalledReaders() {
         if (closedStalledReaders > 0) {
             LOG.log(
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -390,7 +390,7 @@
         if (inCall()) {
             handler.clientDisconnected(this);
         }
-        reader.closed();
+        reader.abortRequest();
         if (download != null) {
             download.cancel();
         }
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -306,7 +306,10 @@
         }
     }
 
-    /** Drops the request that is being read, which is rejected, and all that was sent ahead; its body is not relayed further. */
+    /**
+     * Drops the request that is being read and all that was sent ahead, as it is rejected or the connection has been closed; its body is
+     * not relayed further.
+     */
     void abortRequest() {
         if (upload != null) {
             upload.fail();
@@ -346,9 +349,4 @@
             connection.end(CloseReason.ANSWERED_EARLY);
         }
     }
-
-    /** Drops all input after the connection has been closed. */
-    void closed() {
-        abortRequest();
-    }
 }
--- a/balancer/src/test/java/gorsestack/proxy/FailedTaskTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/FailedTaskTest.java
@@ -5,15 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import gorsestack.decision.Settings;
 import gorsestack.settings.Limits;
-import gorsestack.wire.BufferBudget;
 import gorsestack.wire.Channel;
 import gorsestack.wire.ClientConnection;
-import gorsestack.wire.ClientRequestHandler;
 import gorsestack.wire.ConnectionHandler;
 import gorsestack.wire.MinaNetwork;
 import gorsestack.wire.Request;
+import gorsestack.wire.StubRequestHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -49,51 +47,22 @@
     }
 
     /** Fails at each call; whatever else happens is ignored. */
-    private final class FailingRequestHandler implements ClientRequestHandler {
+    private final class FailingRequestHandler extends StubRequestHandler {
         private final AtomicInteger disconnected = new AtomicInteger();
-        private final BufferBudget budget = new BufferBudget(limits);
 
-        @Override
-        public void opened(ClientConnection from) {}
+        FailingRequestHandler() {
+            super(limits);
+        }
 
         @Override
         public void call(ClientConnection from, Request request, long arrivedAt) {
             throw new IllegalStateException("planted fault");
         }
 
-        @Override
-        public void requestNotReplayable(ClientConnection from) {}
-
-        @Override
-        public void requestBodyComplete(ClientConnection from, long arrivedAt) {}
-
-        @Override
-        public BufferBudget bufferBudget() {
-            return budget;
-        }
-
         @Override
         public void clientDisconnected(ClientConnection from) {
             disconnected.incrementAndGet();
         }
-
-        @Override
-        public void closed(ClientConnection from) {}
-
-        @Override
-        public boolean ready() {
-            return true;
-        }
-
-        @Override
-        public boolean closing() {
-            return false;
-        }
-
-        @Override
-        public Settings.Repeat repeat(String product) {
-            return Settings.Repeat.IDEMPOTENT;
-        }
     }
 
     /** A handler that fails at its first input. */
--- a/balancer/src/test/java/gorsestack/proxy/FakeSocket.java
+++ b/balancer/src/test/java/gorsestack/proxy/FakeSocket.java
@@ -7,6 +7,9 @@
 
 /** The balancer's end of a connection, with the test acting as the other end. */
 final class FakeSocket extends FakeChannel {
+    /** The largest part of a message that one read returns. */
+    private static final int READ_BYTES = 16_000;
+
     private final DispatcherRig rig;
     /** The address to which the balancer connects; null for an accepted connection. */
     final InetSocketAddress remoteAddress;
@@ -122,6 +125,13 @@
         rig.runPending();
     }
 
+    /** Sends text to the balancer in parts of the size that one read of a socket returns. */
+    void sendInReads(String text) {
+        for (int begin = 0; begin < text.length(); begin += READ_BYTES) {
+            send(text.substring(begin, Math.min(text.length(), begin + READ_BYTES)));
+        }
+    }
+
     /** Sends a complete 200 response to the balancer. */
     void sendOk(String body) {
         send(HttpMessages.ok(body));
--- a/balancer/src/test/java/gorsestack/proxy/RequestMemoryTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/RequestMemoryTest.java
@@ -20,8 +20,6 @@
     private static final int CLIENTS = 300;
     /** The bound for all requests, and one read of each client beside it. */
     private static final int MAX_HELD_BYTES = (8 << 20) + CLIENTS * (4 << 10);
-    /** The largest part of a message that one read returns. */
-    private static final int READ_BYTES = 16_000;
     /** The time in which a client that stops within a request has its error. */
     private static final int ERROR_WITHIN_MILLIS = 3_000;
 
@@ -48,9 +46,7 @@
 
     private static FakeSocket send(DispatcherRig rig, String text) {
         FakeSocket client = rig.client();
-        for (int begin = 0; begin < text.length(); begin += READ_BYTES) {
-            client.send(text.substring(begin, Math.min(text.length(), begin + READ_BYTES)));
-        }
+        client.sendInReads(text);
         return client;
     }
 
--- a/balancer/src/test/java/gorsestack/proxy/UnreadResponsesTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/UnreadResponsesTest.java
@@ -22,8 +22,6 @@
     private static final String BODY = "y".repeat(60_000);
     /** The bound for the responses of all clients, and one response beside it. */
     private static final long MAX_UNSENT_BYTES = (8L << 20) + BODY.length() + 1_000;
-    /** The largest part of a message that one read returns. */
-    private static final int READ_BYTES = 16_000;
     /** The time after which a client that reads nothing is disconnected. */
     private static final int STALL_TIMEOUT_MILLIS = 5_000;
 
@@ -41,12 +39,6 @@
         return requests.toString();
     }
 
-    private static void send(FakeSocket socket, String text) {
-        for (int begin = 0; begin < text.length(); begin += READ_BYTES) {
-            socket.send(text.substring(begin, Math.min(text.length(), begin + READ_BYTES)));
-        }
-    }
-
     /** Has the upstreams respond to each call that is open; returns how many there were. */
     private static int respondToOpenCalls(DispatcherRig rig) {
         int responses = 0;
@@ -64,7 +56,7 @@
     void beginsNoFurtherPipelinedRequestWhileResponsesWait() throws IOException {
         DispatcherRig rig = DispatcherRig.withUpstreams(1);
         FakeSocket client = clientThatReadsNothing(rig);
-        send(client, pipelinedRequests("c"));
+        client.sendInReads(pipelinedRequests("c"));
         int responses = 0;
         while (respondToOpenCalls(rig) > 0) {
             responses++;
@@ -92,7 +84,7 @@
         for (int i = 0; i < CLIENTS; i++) {
             FakeSocket client = clientThatReadsNothing(rig);
             clients.add(client);
-            send(client, pipelinedRequests("c" + i));
+            client.sendInReads(pipelinedRequests("c" + i));
             for (int rounds = 0; rounds < 4; rounds++) {
                 respondToOpenCalls(rig);
             }
--- a/balancer/src/test/java/gorsestack/wire/ClientConnectionStatesTest.java
+++ b/balancer/src/test/java/gorsestack/wire/ClientConnectionStatesTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gorsestack.decision.Settings;
 import gorsestack.invariant.CloseReason;
 import gorsestack.settings.Limits;
 import java.util.List;
@@ -34,15 +33,16 @@
     }
 
     /** Accepts calls and records the events of the connection. */
-    private static final class RecordingHandler implements ClientRequestHandler {
+    private static final class RecordingHandler extends StubRequestHandler {
         int calls;
         int callsOfDisconnectedClients;
         int closedConnections;
         boolean closing;
         boolean callInFlight;
 
-        @Override
-        public void opened(ClientConnection from) {}
+        RecordingHandler() {
+            super(LIMITS);
+        }
 
         @Override
         public void call(ClientConnection from, Request request, long arrivedAt) {
@@ -50,17 +50,6 @@
             callInFlight = true;
         }
 
-        @Override
-        public void requestNotReplayable(ClientConnection from) {}
-
-        @Override
-        public void requestBodyComplete(ClientConnection from, long arrivedAt) {}
-
-        @Override
-        public BufferBudget bufferBudget() {
-            return new BufferBudget(LIMITS);
-        }
-
         @Override
         public void clientDisconnected(ClientConnection from) {
             callsOfDisconnectedClients += callInFlight ? 1 : 0;
@@ -72,20 +61,10 @@
             closedConnections++;
         }
 
-        @Override
-        public boolean ready() {
-            return true;
-        }
-
         @Override
         public boolean closing() {
             return closing;
         }
-
-        @Override
-        public Settings.Repeat repeat(String product) {
-            return Settings.Repeat.IDEMPOTENT;
-        }
     }
 
     /** Applies one sequence of events to one connection. */
