SendStallDetector: the next check is due when the upstream would have stopped, and at no other time

The lower bound for the next check was dead: since a look at which nothing waits moves the time of the stall, that time is always ahead unless the upstream has stopped. Behaviour is as it was. LargeBody, UnreadResponses, SlowReader, UpstreamConnection* and Upgrade pass.

--- a/balancer/src/main/java/gorsestack/wire/SendStallDetector.java
+++ b/balancer/src/main/java/gorsestack/wire/SendStallDetector.java
@@ -45,9 +45,7 @@
         } else if (progress.stalled()) {
             onStall.run();
         } else {
-            // While nothing waits, it is the client that pauses.
-            long later = eventLoop.now() + limits.upstream().streamStallTimeoutNanos() / 4;
-            eventLoop.at(Math.max(progress.stallsAt(), later), this::check);
+            eventLoop.at(progress.stallsAt(), this::check);
         }
     }
 }
