Decisions, gossip and stored state no longer depend on the processor

Cause: Java lets Math.exp, expm1, log, log1p and pow differ by one unit in the last place, and the JVM on x86-64 replaces them by instructions of its own; on arm64 it has none and computes as StrictMath does. Eight such calls decide or encode: decay of concurrency limits, responses, load reports and recent calls, weights of localities and upstreams, load gossip, restored state. The last digits then move later decisions. Tests drew their inputs with the same methods.

Change: StrictMath in all of them, in the lab and in tests too.

--- a/balancer/src/main/java/gorsestack/decision/AdaptiveConcurrencyLimit.java
+++ b/balancer/src/main/java/gorsestack/decision/AdaptiveConcurrencyLimit.java
@@ -64,7 +64,7 @@
 
     /** Changes the number of attempts in flight, and updates its mean. */
     void trackInFlight(long now, Product product, int change) {
-        double weight = Math.exp((inFlightChangedAt - now) / (double) product.slo());
+        double weight = StrictMath.exp((inFlightChangedAt - now) / (double) product.slo());
         recentInFlight = inFlight + (recentInFlight - inFlight) * weight;
         inFlightChangedAt = now;
         inFlight += change;
--- a/balancer/src/main/java/gorsestack/decision/LoadGossip.java
+++ b/balancer/src/main/java/gorsestack/decision/LoadGossip.java
@@ -52,14 +52,14 @@
             message[offset++] = encodeLatency(upstream.latencyRatio);
             message[offset++] = (byte) Math.min(MAX_AGE_UNITS, (now - upstream.reportedAt) / AGE_UNIT_NANOS);
             message[offset++] = (byte)
-                    Math.min(MAX_BYTE, Math.round(IN_FLIGHT_STEPS_PER_E * Math.log1p(upstream.reportedInFlight)));
+                    Math.min(MAX_BYTE, Math.round(IN_FLIGHT_STEPS_PER_E * StrictMath.log1p(upstream.reportedInFlight)));
         }
         return message;
     }
 
     private static byte encodeLatency(double ratio) {
-        long steps =
-                Math.round(ENCODED_RATIO_OF_ONE + LATENCY_STEPS_PER_E * Math.log(Math.max(MIN_LATENCY_RATIO, ratio)));
+        long steps = Math.round(
+                ENCODED_RATIO_OF_ONE + LATENCY_STEPS_PER_E * StrictMath.log(Math.max(MIN_LATENCY_RATIO, ratio)));
         return (byte) Math.max(0, Math.min(MAX_BYTE, steps));
     }
 
@@ -79,9 +79,9 @@
                         (message[offset] & MAX_BYTE) << 16
                                 | (message[offset + 1] & MAX_BYTE) << 8
                                 | (message[offset + 2] & MAX_BYTE),
-                        Math.exp(((message[offset + 3] & MAX_BYTE) - ENCODED_RATIO_OF_ONE)
+                        StrictMath.exp(((message[offset + 3] & MAX_BYTE) - ENCODED_RATIO_OF_ONE)
                                 / (double) LATENCY_STEPS_PER_E),
-                        Math.expm1((message[offset + 5] & MAX_BYTE) / (double) IN_FLIGHT_STEPS_PER_E),
+                        StrictMath.expm1((message[offset + 5] & MAX_BYTE) / (double) IN_FLIGHT_STEPS_PER_E),
                         now - age * AGE_UNIT_NANOS);
             }
         }
--- a/balancer/src/main/java/gorsestack/decision/Locality.java
+++ b/balancer/src/main/java/gorsestack/decision/Locality.java
@@ -91,6 +91,7 @@
      * enough to cover a few calls, and short enough to follow changes of the load.
      */
     double recentResponses(long now) {
-        return responses * Math.exp((respondedAt - now) * RESPONSE_WINDOWS_PER_SLOW_START / Math.max(1, slowStartTime));
+        return responses
+                * StrictMath.exp((respondedAt - now) * RESPONSE_WINDOWS_PER_SLOW_START / Math.max(1, slowStartTime));
     }
 }
--- a/balancer/src/main/java/gorsestack/decision/LocalityLoad.java
+++ b/balancer/src/main/java/gorsestack/decision/LocalityLoad.java
@@ -48,7 +48,7 @@
                 loads += upstreamThroughput * load;
                 latencyWeights += upstreamThroughput / (load + 1);
                 baselines += upstreamThroughput * upstream.latencyRatio / Math.max(1, load);
-                double weight = Math.exp((upstream.reportedAt - now) / (REPORT_DECAY_SLOS * meanSlo));
+                double weight = StrictMath.exp((upstream.reportedAt - now) / (REPORT_DECAY_SLOS * meanSlo));
                 latencies +=
                         upstreamThroughput / (load + 1) * Math.min(MAX_LATENCY_RATIO, upstream.latencyRatio) * weight;
             }
--- a/balancer/src/main/java/gorsestack/decision/LocalityRouter.java
+++ b/balancer/src/main/java/gorsestack/decision/LocalityRouter.java
@@ -69,7 +69,7 @@
             LocalityLoad load = locality.load;
             load.refresh(locality.members, now, meanSlo);
             double weightedHealthyCount = (i == 0 ? 1 : OTHER_LOCALITY_WEIGHT) * locality.healthyCount();
-            total += weightedHealthyCount * load.meanThroughput / Math.pow(1 + load.meanLoad, LOAD_EXPONENT);
+            total += weightedHealthyCount * load.meanThroughput / StrictMath.pow(1 + load.meanLoad, LOAD_EXPONENT);
             cumulativeWeights[i] = total;
         }
         double drawn = random.next() * total;
--- a/balancer/src/main/java/gorsestack/decision/UpstreamSelector.java
+++ b/balancer/src/main/java/gorsestack/decision/UpstreamSelector.java
@@ -100,7 +100,7 @@
 
     /** Counts a call from a client. */
     void onCall(long now) {
-        recentCalls = recentCalls * Math.exp((calledAt - now) / RECENT_CALLS_WINDOW) + 1;
+        recentCalls = recentCalls * StrictMath.exp((calledAt - now) / RECENT_CALLS_WINDOW) + 1;
         calledAt = now;
     }
 
@@ -247,7 +247,9 @@
                 : 1;
         double relativeSpeed = ownLatency == 0 || expectedLatency == 0
                 ? 1
-                : expectedLatency / ownLatency * Math.pow(meanLatency / typicalLatency, 1 - fleetQuota.ofOwnLocality);
+                : expectedLatency
+                        / ownLatency
+                        * StrictMath.pow(meanLatency / typicalLatency, 1 - fleetQuota.ofOwnLocality);
         return Math.max(MIN_SPEED, Math.min(MAX_SPEED, size * relativeSpeed));
     }
 }
--- a/balancer/src/main/java/gorsestack/recovery/RestorePolicy.java
+++ b/balancer/src/main/java/gorsestack/recovery/RestorePolicy.java
@@ -121,7 +121,7 @@
         if (age >= maxAge) {
             return List.of();
         }
-        double factor = Math.exp(-DECAY_EXPONENT * age / maxAge);
+        double factor = StrictMath.exp(-DECAY_EXPONENT * age / maxAge);
         return state.learned().stream()
                 .map(locality -> locality.decayed(factor))
                 .toList();
--- a/balancer/src/test/java/gorsestack/LayersTest.java
+++ b/balancer/src/test/java/gorsestack/LayersTest.java
@@ -3,10 +3,13 @@
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
+import com.tngtech.archunit.base.DescribedPredicate;
 import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.domain.JavaMethodCall;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Checks that packages depend on lower layers only, from the command line down to the decision packages, which depend on no other. */
@@ -96,4 +99,24 @@
                 .callMethod(System.class, "currentTimeMillis")
                 .check(CLASSES);
     }
+
+    /**
+     * Guards against decisions and stored figures that depend on the processor: the JVM may replace these methods by instructions whose
+     * results differ in the last digit.
+     */
+    @Test
+    void computesWithStrictMathWhereResultsDependOnTheProcessor() {
+        JavaClasses classesAndTests = new ClassFileImporter().importPackages("gorsestack");
+        Set<String> approximated = Set.of(
+                "sin", "cos", "tan", "asin", "acos", "atan", "atan2", "sinh", "cosh", "tanh", "exp", "expm1", "log",
+                "log10", "log1p", "pow", "cbrt", "hypot");
+        DescribedPredicate<JavaMethodCall> approximation = DescribedPredicate.describe(
+                "a method of Math whose result may differ between processors",
+                call -> call.getTargetOwner().isEquivalentTo(Math.class) && approximated.contains(call.getName()));
+        ArchRuleDefinition.noClasses()
+                .should()
+                .callMethodWhere(approximation)
+                .because("StrictMath gives the same result on every processor")
+                .check(classesAndTests);
+    }
 }
--- a/balancer/src/test/java/gorsestack/decision/ColdFleetTest.java
+++ b/balancer/src/test/java/gorsestack/decision/ColdFleetTest.java
@@ -266,16 +266,18 @@
 
     /** Schedules the next call of a process at a random time, from which the call after it is scheduled. */
     private static void scheduleCalls(World world, BalancerProcess process, double callsPerSecond, long start) {
-        world.schedule(world.now + (long) (-Math.log(1 - world.random.nextDouble()) / callsPerSecond * 1e9), () -> {
-            long since = world.now - start;
-            boolean pause = world.scenario == Scenario.PAUSE && since > 0 && since < 3_000 * MS;
-            boolean reduced = world.scenario == Scenario.LOST_ZONE && since > 4_000 * MS && world.random.nextInt(3) > 0;
-            if (!pause && !reduced) {
-                process.policy.onApiCall(
-                        world.now, process.hashCode() + "-" + process.calls++, "read", null, 1_000 * MS);
-            }
-            scheduleCalls(world, process, callsPerSecond, start);
-        });
+        world.schedule(
+                world.now + (long) (-StrictMath.log(1 - world.random.nextDouble()) / callsPerSecond * 1e9), () -> {
+                    long since = world.now - start;
+                    boolean pause = world.scenario == Scenario.PAUSE && since > 0 && since < 3_000 * MS;
+                    boolean reduced =
+                            world.scenario == Scenario.LOST_ZONE && since > 4_000 * MS && world.random.nextInt(3) > 0;
+                    if (!pause && !reduced) {
+                        process.policy.onApiCall(
+                                world.now, process.hashCode() + "-" + process.calls++, "read", null, 1_000 * MS);
+                    }
+                    scheduleCalls(world, process, callsPerSecond, start);
+                });
     }
 
     /** Plays a scenario with many seeds; returns the number of seeds with an excess, and the largest excess. */
--- a/balancer/src/test/java/gorsestack/decision/DecisionTrace.java
+++ b/balancer/src/test/java/gorsestack/decision/DecisionTrace.java
@@ -117,7 +117,7 @@
     DecisionTrace(long seed) {
         random = new SplittableRandom(seed);
         settings = DecisionTraceSettings.draw(random);
-        callsPerSecond = 4 * Math.pow(32, random.nextDouble());
+        callsPerSecond = 4 * StrictMath.pow(32, random.nextDouble());
     }
 
     /** Runs the whole simulation and returns the digest in hexadecimal. */
@@ -203,7 +203,7 @@
     // Calls, their request bodies and outcomes.
 
     private void scheduleNextCall() {
-        long gap = (long) (-Math.log(1 - random.nextDouble()) * 1e9 / (callsPerSecond * callRateFactor));
+        long gap = (long) (-StrictMath.log(1 - random.nextDouble()) * 1e9 / (callsPerSecond * callRateFactor));
         if (now + gap < START + LOAD_TIME) {
             schedule(now + gap, () -> {
                 call();
--- a/balancer/src/test/java/gorsestack/recovery/SnapshotStoreTest.java
+++ b/balancer/src/test/java/gorsestack/recovery/SnapshotStoreTest.java
@@ -306,7 +306,7 @@
                 fresh.maintenanceOrders().size() + " "
                         + fresh.endpointSnapshot().members().size() + " "
                         + fresh.learned().size() + " " + fresh.rejections());
-        assertEquals(4 * Math.exp(-0.2), fresh.learned().get(0).concurrencyLimit(), 1e-9);
+        assertEquals(4 * StrictMath.exp(-0.2), fresh.learned().get(0).concurrencyLimit(), 1e-9);
         assertEquals(0.2, fresh.learned().get(0).latencyRatio(), 1e-9);
         RestorePolicy.Restored afterMaxAge = restored(state(7, "s1"), NOW + 20 * SECOND);
         assertEquals(
--- a/balancer/src/test/java/gorsestack/wire/EventSequences.java
+++ b/balancer/src/test/java/gorsestack/wire/EventSequences.java
@@ -14,7 +14,7 @@
      * @param runSequence returns what is wrong after a sequence, or null if nothing is
      */
     static <E> List<E> firstFailure(List<E> events, int length, Function<List<E>, String> runSequence) {
-        long count = (long) Math.pow(events.size(), length);
+        long count = (long) StrictMath.pow(events.size(), length);
         for (long number = 0; number < count; number++) {
             List<E> sequence = sequence(events, length, number);
             String failure = runSequence.apply(sequence);
--- a/lab/src/main/java/gorsestack/lab/standin/LoadGenerator.java
+++ b/lab/src/main/java/gorsestack/lab/standin/LoadGenerator.java
@@ -115,7 +115,7 @@
         if (stopped) {
             return;
         }
-        double interval = -Math.log(1 - arrivalRandom.nextDouble()) / (load.rate() * burstFactor);
+        double interval = -StrictMath.log(1 - arrivalRandom.nextDouble()) / (load.rate() * burstFactor);
         long arrivalAt = nextArrival + (long) (interval * 1e9);
         nextArrival = arrivalAt;
         testbed.at(arrivalAt, () -> {
--- a/lab/src/main/java/gorsestack/lab/standin/MisbehavingClients.java
+++ b/lab/src/main/java/gorsestack/lab/standin/MisbehavingClients.java
@@ -78,7 +78,7 @@
         }
         Behavior behavior = Behavior.values()[random.nextInt(Behavior.values().length)];
         new Client(behavior, balancers.get(random.nextInt(balancers.size())), startedClients++).connect();
-        long interval = (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1e9);
+        long interval = (long) (-StrictMath.log(1 - random.nextDouble()) / perSecond * 1e9);
         testbed.after(interval, () -> startClient(balancers, perSecond));
     }
 
--- a/lab/src/main/java/gorsestack/lab/standin/UpstreamConnection.java
+++ b/lab/src/main/java/gorsestack/lab/standin/UpstreamConnection.java
@@ -113,7 +113,7 @@
 
     private void process(ChannelHandlerContext ctx, UpstreamAttempt attempt, Product product) {
         // The work is derived from the id alone, so that it does not depend on the order of the requests.
-        double work = product.workMs() * Math.exp(product.workSigma() * gaussian(attempt.id()));
+        double work = product.workMs() * StrictMath.exp(product.workSigma() * gaussian(attempt.id()));
         boolean callsNextTier = upstream.callsNextTier();
         attemptInProgress = attempt;
         job = upstream.capacity.accept(callsNextTier ? work / 2 : work, accepted -> {
