--- a/balancer/src/test/java/gorsestack/proxy/ConnectionCloseOrderingTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/ConnectionCloseOrderingTest.java
@@ -265,4 +265,23 @@
             client.close();
         }
     }
+
+    /** Guards against memory that grows with each connection that was closed, as a timer refers to it for seconds. */
+    @Test
+    void keepsNoTimerOfAConnectionThatHasEnded() throws Exception {
+        for (String sent :
+                new String[] {"BAD\r\n\r\n", "GET /unknown HTTP/1.1\r\nX-Correlation-Id: 1\r\nConnection: close\r\n\r\n"
+                }) {
+            try (SocketRig rig = new SocketRig(1)) {
+                int before = rig.timerCount();
+                Socket client = rig.connectClient();
+                send(client, sent);
+                rig.runUntil(() -> rig.lastClientSpy().closedCount > 0);
+                assertTrue(readToEnd(client).startsWith("HTTP/1.1 4"), sent);
+                client.close();
+                rig.runUntil(() -> rig.network.accepted() == 0);
+                rig.runUntil(() -> rig.timerCount() == before);
+            }
+        }
+    }
 }
--- a/balancer/src/test/java/gorsestack/proxy/SocketRig.java
+++ b/balancer/src/test/java/gorsestack/proxy/SocketRig.java
@@ -267,6 +267,11 @@
         return timers.add(time, task);
     }
 
+    /** Returns the number of timers that the balancer has set and not cancelled. */
+    int timerCount() {
+        return timers.size();
+    }
+
     /** Waits until a task has been submitted, and leaves it in the queue. */
     void awaitQueuedTask() throws InterruptedException {
         Runnable first = tasks.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/balancer/src/test/java/gorsestack/wire/TimerQueue.java
+++ b/balancer/src/test/java/gorsestack/wire/TimerQueue.java
@@ -25,6 +25,11 @@
         return timers.isEmpty() || timers.peek().dueAt() > time ? null : timers.poll();
     }
 
+    /** Returns the number of timers that wait. */
+    public int size() {
+        return timers.size();
+    }
+
     /** Removes and returns the next timer, whenever it is due, or null if there is none. */
     public Timer poll() {
         return timers.poll();
