A connection that has ended is not kept in memory by its timers

Cause: SessionChannel.closeIfWriteStalls sets a timer of 5 s at each graceful end, and nothing cancelled it; it holds the session, its parser and its channel, 2.7 KiB, for as long. At 2,100 such connections a second that is the heap. Later collections also made each of them slower.

Change: a channel has one timer, cancelled when its socket closes or another takes its place. The same mistake on a related path: the stall detectors of connections to upstreams (0.25 to 21 s) are stopped when the connection closes.

--- a/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -196,7 +196,14 @@
 
         @Override
         public void sessionClosed(IoSession session) {
-            eventLoop.execute(handler(session)::closed);
+            ConnectionHandler handler = handler(session);
+            SessionChannel channel = (SessionChannel) session.getAttribute(CHANNEL);
+            eventLoop.execute(() -> {
+                if (channel != null) {
+                    channel.closed();
+                }
+                handler.closed();
+            });
         }
 
         @Override
--- a/balancer/src/main/java/gorsestack/wire/SendStallDetector.java
+++ b/balancer/src/main/java/gorsestack/wire/SendStallDetector.java
@@ -15,6 +15,7 @@
     private final Runnable onStall;
     private SendProgress progress;
     private boolean checkScheduled;
+    private Runnable cancelCheck = () -> {};
 
     /**
      * Creates a detector that watches nothing yet.
@@ -35,17 +36,22 @@
             checkScheduled = true;
             // The request's head may wait already, and the system may not have had the time to take it.
             progress = new SendProgress(limits, eventLoop, channel);
-            eventLoop.at(progress.stallsAt(), this::check);
+            cancelCheck = eventLoop.at(progress.stallsAt(), this::check);
         }
     }
 
+    /** Stops watching for good. Without this, the timer would keep a connection that has ended in memory. */
+    void stop() {
+        cancelCheck.run();
+    }
+
     private void check() {
         if (!sending.getAsBoolean()) {
             checkScheduled = false;
         } else if (progress.stalled()) {
             onStall.run();
         } else {
-            eventLoop.at(progress.stallsAt(), this::check);
+            cancelCheck = eventLoop.at(progress.stallsAt(), this::check);
         }
     }
 }
--- a/balancer/src/main/java/gorsestack/wire/SessionChannel.java
+++ b/balancer/src/main/java/gorsestack/wire/SessionChannel.java
@@ -40,6 +40,11 @@
     private int handledCount;
 
     private boolean finishing;
+    /** Cancels the timer that ends the connection; used on the event loop's thread, as is the next field. */
+    private Runnable cancelTimer = () -> {};
+
+    private boolean socketClosed;
+
     private volatile boolean discarding;
     /** Whether the output has been shut down; used on the processor's thread, as is the next field. */
     private boolean outputShut;
@@ -120,16 +125,28 @@
      * response may be on its way.
      */
     private void closeIfWriteStalls(long unsentBefore, BooleanSupplier stillEnding) {
-        shared.eventLoop()
-                .at(shared.eventLoop().now() + shared.limits().upstream().streamStallTimeoutNanos(), () -> {
-                    if (open() && unsent() > 0 && stillEnding.getAsBoolean()) {
-                        if (unsent() < unsentBefore) {
-                            closeIfWriteStalls(unsent(), stillEnding);
-                        } else {
-                            close();
-                        }
-                    }
-                });
+        schedule(shared.limits().upstream().streamStallTimeoutNanos(), () -> {
+            if (open() && unsent() > 0 && stillEnding.getAsBoolean()) {
+                if (unsent() < unsentBefore) {
+                    closeIfWriteStalls(unsent(), stillEnding);
+                } else {
+                    close();
+                }
+            }
+        });
+    }
+
+    /** Sets the timer that ends the connection, in place of an earlier one. */
+    private void schedule(long delayNanos, Runnable task) {
+        cancelTimer();
+        if (!socketClosed) {
+            cancelTimer = shared.eventLoop().at(shared.eventLoop().now() + delayNanos, task);
+        }
+    }
+
+    private void cancelTimer() {
+        cancelTimer.run();
+        cancelTimer = () -> {};
     }
 
     @Override
@@ -181,18 +198,21 @@
             return;
         }
         session.resumeRead();
-        EventLoop eventLoop = shared.eventLoop();
-        eventLoop.execute(() -> {
+        shared.eventLoop().execute(() -> {
             shared.lingering().add(session);
-            eventLoop.at(eventLoop.now() + shared.limits().client().closeLingerNanos(), () -> {
-                shared.lingering().remove(session);
-                session.closeNow();
-            });
+            schedule(shared.limits().client().closeLingerNanos(), session::closeNow);
             handler.closed();
             shared.lingering().closeExcess();
         });
     }
 
+    /** Releases what refers to the connection, as its socket is closed; called on the event loop's thread. */
+    void closed() {
+        socketClosed = true;
+        cancelTimer();
+        shared.lingering().remove(session);
+    }
+
     /** Returns whether the bytes that are read are discarded. */
     boolean discarding() {
         return discarding;
--- a/balancer/src/main/java/gorsestack/wire/StallDetector.java
+++ b/balancer/src/main/java/gorsestack/wire/StallDetector.java
@@ -17,6 +17,7 @@
     private boolean paused;
 
     private boolean checkScheduled;
+    private Runnable cancelCheck = () -> {};
 
     /**
      * Creates a detector that watches nothing yet.
@@ -55,7 +56,12 @@
     }
 
     private void scheduleCheck() {
-        eventLoop.at(lastByteAt + timeout.getAsLong(), this::check);
+        cancelCheck = eventLoop.at(lastByteAt + timeout.getAsLong(), this::check);
+    }
+
+    /** Stops watching for good. Without this, the timer would keep a connection that has ended in memory. */
+    void stop() {
+        cancelCheck.run();
     }
 
     private void check() {
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -301,6 +301,8 @@
     public void close() {
         if (!closed) {
             closed = true;
+            stallDetector.stop();
+            sendStallDetector.stop();
             buffering.release();
             attempt = null;
             BodyRelay requestBody = upload;
