A head occupies the memory that was received, however many fields it has

What was seen: beside 300 clients that send heads of 3,900 fields of four bytes and stop, a process ends with OutOfMemoryError and exit code 70.

Cause: MessageHead made two strings and an array entry of each field, some 110 bytes of a field of four, while BufferBudget counts the bytes received; 16 KiB counted stood for 450 KiB.

Change: the head keeps its bytes, checks them once, and looks fields up in them; a lookup is a scan of a few hundred bytes in a usual head. Heads of answers use the same class. Replies, rules and forwarded bytes are as they were (HttpParserTest, HttpExchangeFormatTest).

--- a/balancer/src/main/java/gorsestack/wire/MessageHead.java
+++ b/balancer/src/main/java/gorsestack/wire/MessageHead.java
@@ -7,7 +7,8 @@
 import java.util.Set;
 
 /**
- * The head of a message: the bytes as received, with folded lines joined, and the header fields by their names in lower case. Immutable.
+ * The head of a message: the bytes as received, with folded lines joined. Header fields are looked up in these bytes, so that a head occupies
+ * no more memory than was received, however many fields it has. Immutable.
  */
 public final class MessageHead {
     private static final Set<String> HOP_BY_HOP = Set.of(
@@ -24,14 +25,15 @@
     /** Characters that a field's name must not contain (RFC 9110, section 5.6.2). */
     private static final String SEPARATORS = "\"(),/:;<=>?@[\\]{}";
 
+    /** Distance between the upper and lower case of a letter in ASCII. */
+    private static final int CASE_OFFSET = 'a' - 'A';
+
     /** The two or three parts of the start line: method, target and version, or version, status and reason. */
     public final String[] start;
 
     private final byte[] bytes;
-    private final String[] names;
-    private final String[] values;
-    /** Offset of each line; one more entry holds the end of the last line. */
-    private final int[] lineOffsets;
+    /** Offset of the first header field. */
+    private final int firstField;
 
     /**
      * Parses a head.
@@ -42,54 +44,17 @@
     MessageHead(byte[] bytes, boolean strict) throws MalformedMessageException {
         this.bytes = bytes;
         unfold(bytes);
-        int lines = 0;
-        for (byte b : bytes) {
-            lines += b == '\n' ? 1 : 0;
-        }
-        names = new String[lines - 1];
-        values = new String[lines - 1];
-        lineOffsets = new int[lines + 1];
-        int lineStart = 0;
-        String[] startLine = null;
-        for (int i = 0; i < lines; i++) {
-            int end = lineStart;
-            while (bytes[end] != '\n') {
-                end++;
-            }
-            // A bare line feed is rejected: another parser may read it differently and find a second message hidden in
-            // this one (request smuggling).
-            if (end == lineStart || bytes[end - 1] != '\r') {
-                throw new MalformedMessageException(400, "a line ends without a carriage return");
-            }
-            String line = new String(bytes, lineStart, end - 1 - lineStart, StandardCharsets.ISO_8859_1);
-            // Control characters are rejected, because an upstream closes its connection on a request that it cannot
-            // parse. In a response only the start line is checked.
-            if ((strict || i == 0) && !printable(line)) {
-                throw new MalformedMessageException(400, "a control character in the head");
-            }
-            lineOffsets[i] = lineStart;
-            lineStart = end + 1;
-            if (i == 0) {
-                startLine = line.split(" ", 3);
-            } else {
-                parseField(i - 1, line);
-            }
-        }
-        lineOffsets[lines] = lineStart;
-        if (startLine == null || startLine.length < 2) {
+        firstField = nextLine(0);
+        checkLine(0, true);
+        String[] startLine = text(0, firstField - 2).split(" ", 3);
+        if (startLine.length < 2) {
             throw new MalformedMessageException(400, "a start line has fewer than two parts");
         }
-        start = startLine;
-    }
-
-    private void parseField(int index, String line) throws MalformedMessageException {
-        int colon = line.indexOf(':');
-        String name = colon < 0 ? "" : line.substring(0, colon);
-        if (name.isEmpty() || name.chars().anyMatch(c -> c <= ' ' || c > '~' || SEPARATORS.indexOf(c) >= 0)) {
-            throw new MalformedMessageException(400, "a header line has no proper name");
+        for (int line = firstField; line < bytes.length; line = nextLine(line)) {
+            checkLine(line, strict);
+            checkName(line);
         }
-        names[index] = name.toLowerCase(Locale.ROOT);
-        values[index] = line.substring(colon + 1).strip();
+        start = startLine;
     }
 
     /** Joins folded lines in place: the value of a field may continue in the next line if that begins with a blank. */
@@ -106,31 +71,104 @@
         }
     }
 
-    private static boolean printable(String text) {
-        return text.chars().allMatch(c -> (c >= ' ' && c <= '~') || c == '\t');
+    /** Returns the offset behind the line that begins at this offset. */
+    private int nextLine(int line) {
+        int end = line;
+        while (bytes[end] != '\n') {
+            end++;
+        }
+        return end + 1;
+    }
+
+    private String text(int begin, int end) {
+        return new String(bytes, begin, end - begin, StandardCharsets.ISO_8859_1);
     }
 
-    /** Returns the number of bytes of the head as received. */
+    private void checkLine(int line, boolean printableOnly) throws MalformedMessageException {
+        int end = nextLine(line) - 1;
+        // A bare line feed is rejected: another parser may read it differently and find a second message hidden in
+        // this one (request smuggling).
+        if (end == line || bytes[end - 1] != '\r') {
+            throw new MalformedMessageException(400, "a line ends without a carriage return");
+        }
+        // Control characters are rejected, because an upstream closes its connection on a request that it cannot
+        // parse. In a response only the start line is checked.
+        if (printableOnly && !printable(line, end - 1)) {
+            throw new MalformedMessageException(400, "a control character in the head");
+        }
+    }
+
+    private void checkName(int line) throws MalformedMessageException {
+        int position = line;
+        while (bytes[position] > ' ' && bytes[position] <= '~' && SEPARATORS.indexOf(bytes[position]) < 0) {
+            position++;
+        }
+        if (position == line || bytes[position] != ':') {
+            throw new MalformedMessageException(400, "a header line has no proper name");
+        }
+    }
+
+    private boolean printable(int begin, int end) {
+        for (int i = begin; i < end; i++) {
+            if ((bytes[i] < ' ' || bytes[i] > '~') && bytes[i] != '\t') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the offset of the colon behind the name of the field in this line. */
+    private int colon(int line) {
+        int position = line;
+        while (bytes[position] != ':') {
+            position++;
+        }
+        return position;
+    }
+
+    /** Returns whether the field in this line has this name, which is in lower case. */
+    private boolean hasName(int line, String name) {
+        for (int i = 0; i < name.length(); i++) {
+            int next = bytes[line + i];
+            if ((next >= 'A' && next <= 'Z' ? next + CASE_OFFSET : next) != name.charAt(i)) {
+                return false;
+            }
+        }
+        return bytes[line + name.length()] == ':';
+    }
+
+    private String value(int line) {
+        return text(colon(line) + 1, nextLine(line) - 2).strip();
+    }
+
+    /** Returns the bytes of memory that the head occupies: those received, and the parts of the start line once more. */
     int size() {
-        return bytes.length;
+        return bytes.length + firstField;
     }
 
     /** Returns the field's value, or null if it is absent. The values of a repeated field are joined by commas, as in RFC 9110. */
     public String field(String name) {
+        StringBuilder joined = null;
         String found = null;
-        for (int i = 0; i < names.length; i++) {
-            if (names[i].equals(name)) {
-                found = found == null ? values[i] : found + ", " + values[i];
+        for (int line = firstField; line < bytes.length; line = nextLine(line)) {
+            if (!hasName(line, name)) {
+                continue;
+            }
+            if (found == null) {
+                found = value(line);
+            } else {
+                joined = joined == null ? new StringBuilder(found) : joined;
+                joined.append(", ").append(value(line));
             }
         }
-        return found;
+        return joined == null ? found : joined.toString();
     }
 
     /** Returns whether the field occurs more than once. */
     boolean isRepeated(String name) {
         int count = 0;
-        for (String each : names) {
-            count += each.equals(name) ? 1 : 0;
+        for (int line = firstField; line < bytes.length; line = nextLine(line)) {
+            count += hasName(line, name) ? 1 : 0;
         }
         return count > 1;
     }
@@ -161,15 +199,18 @@
                 skipped.add(name.strip());
             }
         }
-        for (int i = 0; i < names.length; i++) {
-            if (!skipped.contains(names[i]) && printable(values[i])) {
-                out.write(bytes, lineOffsets[i + 1], lineOffsets[i + 2] - lineOffsets[i + 1]);
+        int next;
+        for (int line = firstField; line < bytes.length; line = next) {
+            next = nextLine(line);
+            int colon = colon(line);
+            if (!skipped.contains(text(line, colon).toLowerCase(Locale.ROOT)) && printable(colon + 1, next - 2)) {
+                out.write(bytes, line, next - line);
             }
         }
     }
 
     /** Copies the start line unchanged. */
     void copyStart(ByteArrayOutputStream out) {
-        out.write(bytes, 0, lineOffsets[1]);
+        out.write(bytes, 0, firstField);
     }
 }
