--- a/balancer/src/test/java/gorsestack/proxy/SocketRig.java
+++ b/balancer/src/test/java/gorsestack/proxy/SocketRig.java
@@ -281,6 +281,11 @@
         tasks.addFirst(first);
     }
 
+    /** Returns whether a task has been submitted that has not been run. */
+    boolean hasQueuedTask() {
+        return !tasks.isEmpty();
+    }
+
     /** Removes the next task from the queue, for the test to run later. */
     Runnable takeQueuedTask() throws InterruptedException {
         awaitQueuedTask();
--- a/balancer/src/test/java/gorsestack/proxy/SocketStreams.java
+++ b/balancer/src/test/java/gorsestack/proxy/SocketStreams.java
@@ -36,6 +36,17 @@
                 .toString();
     }
 
+    /** Reads what has arrived, without waiting, and returns how often it contains this character. */
+    static int drain(Socket socket, char counted) throws IOException {
+        byte[] bytes =
+                socket.getInputStream().readNBytes(socket.getInputStream().available());
+        int count = 0;
+        for (byte next : bytes) {
+            count += next == counted ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Reads to the end of the stream; appends "<reset>" if it is reset, or "<still open>" if the end is not reached in time. */
     static String readToEnd(Socket socket) {
         StringBuilder text = new StringBuilder();
