Small chunks of a relayed body are passed on in one write for each read

Cause: HttpParser handed each chunk to BodyRelay, which wrote it at once: a read of 16 KiB made 2,700 writes, each with objects of MINA and a task. Bounds of bytes do not see that.

Change: the parser collects the contents of all chunks in a call of feed and hands them on at once, in both directions.

--- a/balancer/src/main/java/gorsestack/wire/HttpParser.java
+++ b/balancer/src/main/java/gorsestack/wire/HttpParser.java
@@ -33,7 +33,12 @@
 
     private final long maxBodyBytes;
     private BodySink sink;
+    /** Whether the body is passed on to a sink of the caller. */
+    private boolean streaming;
+
     private final GrowableBuffer body = new GrowableBuffer();
+    /** The contents of the chunks that the current call of {@link #feed} has parsed, while the body is passed on. */
+    private final GrowableBuffer chunkData = new GrowableBuffer();
     /** The bytes of the head, or of the current line of a chunked body, that have arrived so far. */
     private final GrowableBuffer line = new GrowableBuffer();
 
@@ -56,6 +61,7 @@
         this.maxBufferedBytes = limits.buffer().bodyBytes();
         this.maxBodyBytes = sink != null ? Long.MAX_VALUE : limits.buffer().streamedBodyBytes();
         this.sink = sink != null ? sink : this::buffer;
+        streaming = sink != null;
     }
 
     /** Creates a parser of a client's request. */
@@ -101,6 +107,7 @@
     void streamTo(BodySink newSink) {
         body.release();
         sink = newSink;
+        streaming = true;
     }
 
     /** Records that the peer has ended its stream in order, which completes a response without a length. */
@@ -148,8 +155,23 @@
         return line.capacity() + body.capacity() + (head == null ? 0 : head.size());
     }
 
-    /** Parses bytes until the message is complete; returns the offset of the first byte that was not used. */
+    /**
+     * Parses bytes until the message is complete; returns the offset of the first byte that was not used. The sink gets the contents of all
+     * chunks in these bytes at once: a write for each would let a peer that sends chunks of one byte keep the process busy.
+     */
     public int feed(byte[] in, int begin, int end) throws MalformedMessageException {
+        try {
+            return parse(in, begin, end);
+        } finally {
+            if (chunkData.size() > 0) {
+                byte[] bytes = chunkData.trimmed();
+                chunkData.release();
+                sink.bytes(bytes, 0, bytes.length);
+            }
+        }
+    }
+
+    private int parse(byte[] in, int begin, int end) throws MalformedMessageException {
         int i = begin;
         while (i < end && state != State.DONE) {
             switch (state) {
@@ -161,7 +183,11 @@
                 case FIXED_LENGTH, CHUNK_DATA -> {
                     int count = (int) Math.min(remaining, end - i);
                     countBody(count);
-                    sink.bytes(in, i, count);
+                    if (streaming && state == State.CHUNK_DATA) {
+                        chunkData.append(in, i, count);
+                    } else {
+                        sink.bytes(in, i, count);
+                    }
                     i += count;
                     remaining -= count;
                     if (remaining == 0) {
