Reads and sent writes of a connection share a task; what is read ahead is not copied for each request

Cause: each read of a socket and each write sent was a task of the event loop, whatever its size; 48 KiB of single bytes were 49,152 tasks. For each request sent ahead the rest of its read was copied, 8 KiB on average for a request of 30 bytes. The queue of what is read ahead counted bytes alone, not the objects that hold them.

Change: SessionEvents passes events on; reads that follow each other share a task until it begins, as do sent writes, in unchanged order, and reads within 1 ms become one. ReadAheadQueue keeps an offset in place of a copy, and counts 64 bytes for each piece.

--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -91,7 +91,7 @@
         timings.progressed(eventLoop.now());
         if (state == State.ENDING) {
             if (reader.hasUpload()) {
-                reader.discard(bytes);
+                reader.discard(bytes, 0);
             }
             return;
         }
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -3,7 +3,6 @@
 import gorsestack.invariant.CloseReason;
 import gorsestack.settings.Limits;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 
 /**
  * The reading side of a client's connection: parses one request after the other, queues requests that are sent ahead of a response, and
@@ -143,7 +142,7 @@
         } else if (uploadPaused || !readAhead.isEmpty() || mustWaitForClient()) {
             enqueue(bytes, readAt);
         } else {
-            parse(bytes);
+            parse(bytes, 0);
         }
     }
 
@@ -203,12 +202,12 @@
     @Override
     public void bodyCancelled() {}
 
-    private void parse(byte[] bytes) {
+    private void parse(byte[] bytes, int offset) {
         try {
             if (connection.hasRequested() && !parser.begun()) {
                 timings.requestBegun(lastByteAt);
             }
-            int used = parser.feed(bytes, 0, bytes.length);
+            int used = parser.feed(bytes, offset, bytes.length);
             if (parser.done()) {
                 requestComplete(bytes, used);
                 return;
@@ -239,7 +238,7 @@
         }
         if (used < bytes.length) {
             pipelining = true;
-            readAhead.addFirst(Arrays.copyOfRange(bytes, used, bytes.length), lastByteAt);
+            readAhead.addFirst(bytes, used, lastByteAt);
         }
         countBytes();
         if (!handler.bufferBudget().acceptsRequest(countedBytes)) {
@@ -278,7 +277,7 @@
                 && !readAhead.isEmpty()) {
             ReadAheadQueue.Piece piece = readAhead.removeFirst();
             lastByteAt = piece.readAt();
-            parse(piece.bytes());
+            parse(piece.bytes(), piece.offset());
         }
         if (overflowed && !connection.closedOrEnding() && !connection.inCall() && readAhead.isEmpty()) {
             connection.end(CloseReason.SENT_TOO_MUCH); // The bytes that followed were discarded.
@@ -333,14 +332,14 @@
     /** Reads and discards the rest of a request that has its response early. */
     void discardRest() {
         resumeReading();
-        readAhead.drainTo(this::discard);
+        readAhead.drainTo(piece -> discard(piece.bytes(), piece.offset()));
     }
 
     /** Reads and discards bytes; the connection ends with the end of the request. */
-    void discard(byte[] bytes) {
+    void discard(byte[] bytes, int offset) {
         try {
             if (!parser.done()) {
-                parser.feed(bytes, 0, bytes.length);
+                parser.feed(bytes, offset, bytes.length);
                 if (parser.done()) {
                     connection.end(CloseReason.ANSWERED_EARLY);
                 }
--- a/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -25,6 +25,7 @@
 public final class MinaNetwork implements Network {
     private static final String HANDLER = "handler";
     private static final String CHANNEL = "channel";
+    private static final String EVENTS = "events";
     /**
      * Maximum number of bytes that one read of a socket returns: enough for a usual response, and for hundreds of connections together a
      * small part of the heap.
@@ -144,12 +145,8 @@
             }
         }
 
-        /** Runs a task of a connection on the event loop; if it fails, the connection ends. */
-        private void execute(IoSession session, Runnable task) {
-            Channel channel = (Channel) session.getAttribute(CHANNEL);
-            ConnectionHandler handler = handler(session);
-            eventLoop.execute(() ->
-                    FailureGuard.run(task, () -> FailureGuard.run(() -> handler.failed(channel), channel::close)));
+        private SessionEvents events(IoSession session) {
+            return (SessionEvents) session.getAttribute(EVENTS);
         }
 
         private ConnectionHandler handler(IoSession session) {
@@ -160,9 +157,11 @@
         public void sessionOpened(IoSession session) {
             ConnectionHandler handler = handler(session);
             SessionChannel channel = new SessionChannel(shared, (NioSession) session, handler);
+            SessionEvents events = new SessionEvents(eventLoop, channel, handler);
             session.setAttribute(CHANNEL, channel);
+            session.setAttribute(EVENTS, events);
             session.setAttribute(SocketProcessor.WATCHER, channel);
-            execute(session, () -> {
+            events.execute(() -> {
                 handler.opened(channel);
                 lingering.closeExcess();
             });
@@ -170,7 +169,6 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            long readAt = eventLoop.now();
             IoBuffer buffer = (IoBuffer) message;
             SessionChannel channel = (SessionChannel) session.getAttribute(CHANNEL);
             if (channel.discarding()) {
@@ -179,19 +177,12 @@
             }
             byte[] bytes = new byte[buffer.remaining()];
             buffer.get(bytes);
-            ConnectionHandler handler = handler(session);
-            channel.countRead();
-            channel.addQueued(bytes.length);
-            execute(session, () -> {
-                channel.addQueued(-bytes.length);
-                channel.countHandled();
-                handler.received(bytes, readAt);
-            });
+            events(session).received(bytes);
         }
 
         @Override
         public void messageSent(IoSession session, Object message) {
-            execute(session, handler(session)::sent);
+            events(session).sent();
         }
 
         @Override
@@ -208,7 +199,7 @@
 
         @Override
         public void inputClosed(IoSession session) {
-            execute(session, handler(session)::ended);
+            events(session).execute(handler(session)::ended);
             session.closeNow();
         }
 
--- a/balancer/src/main/java/gorsestack/wire/ReadAheadQueue.java
+++ b/balancer/src/main/java/gorsestack/wire/ReadAheadQueue.java
@@ -9,11 +9,19 @@
  * the {@link BufferBudget}. Used by {@link ClientRequestReader} on the event loop's thread only.
  */
 final class ReadAheadQueue {
-    /** The bytes of one read from the socket, or the rest of them. */
-    record Piece(byte[] bytes, long readAt) {}
+    /** Bytes of memory that a piece occupies beside its own: the objects that hold it. */
+    private static final int PIECE_OVERHEAD_BYTES = 64;
+
+    /** The bytes of one read from the socket, of which those before the offset have been parsed. */
+    record Piece(byte[] bytes, int offset, long readAt) {
+        int heldBytes() {
+            return bytes.length + PIECE_OVERHEAD_BYTES;
+        }
+    }
 
     private final ClientRequestHandler handler;
     private final ArrayDeque<Piece> pieces = new ArrayDeque<>(1);
+    /** Bytes of memory that all pieces occupy. */
     private int totalBytes;
 
     /**
@@ -34,25 +42,27 @@
     }
 
     void addLast(byte[] bytes, long readAt) {
-        pieces.add(new Piece(bytes, readAt));
-        count(bytes.length);
+        Piece piece = new Piece(bytes, 0, readAt);
+        pieces.addLast(piece);
+        count(piece.heldBytes());
     }
 
-    /** Puts back the part of a piece that the parser did not use. */
-    void addFirst(byte[] bytes, long readAt) {
-        pieces.addFirst(new Piece(bytes, readAt));
-        count(bytes.length);
+    /** Puts back a piece that the parser has used up to an offset. */
+    void addFirst(byte[] bytes, int offset, long readAt) {
+        Piece piece = new Piece(bytes, offset, readAt);
+        pieces.addFirst(piece);
+        count(piece.heldBytes());
     }
 
     Piece removeFirst() {
         Piece first = pieces.remove();
-        count(-first.bytes.length);
+        count(-first.heldBytes());
         return first;
     }
 
     /** Passes all pieces to a consumer and empties the queue. The consumer may clear the queue itself, as it may end the connection. */
-    void drainTo(Consumer<byte[]> consumer) {
-        List.copyOf(pieces).forEach(piece -> consumer.accept(piece.bytes));
+    void drainTo(Consumer<Piece> consumer) {
+        List.copyOf(pieces).forEach(consumer);
         clear();
     }
 
--- a/balancer/src/main/java/gorsestack/wire/SessionChannel.java
+++ b/balancer/src/main/java/gorsestack/wire/SessionChannel.java
@@ -223,9 +223,9 @@
         readCount++;
     }
 
-    /** Counts a read that the handler receives; called on the event loop's thread. */
-    void countHandled() {
-        handledCount++;
+    /** Counts reads that the handler receives; called on the event loop's thread. */
+    void countHandled(int reads) {
+        handledCount += reads;
     }
 
     /**
