A response that its upstream still writes is not cut off after a pause of 250 ms

Cause: until a response was relayed, silence of 250 ms ended its attempt as malformed, "as upstreams write a small response at once". That holds for no framing: the length may be unknown, and a sound upstream may pause.

Change: an attempt ends by its own deadline, a relayed body by 5 s without a byte, as before. 25 ms before the deadline the beginning of a long response is passed on, so that its first bytes are in time: one with a declared length over 64 KiB, or without a length, with 4,000 bytes and one in the last second. A short or stopped one ends with 504 at the deadline.

The limit responseStallTimeoutNanos is renamed after what is left of it.

--- a/balancer/src/main/java/gorsestack/proxy/UpstreamAttempt.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamAttempt.java
@@ -14,6 +14,9 @@
     /** The longest timeout of a request whose body is complete; an attempt with more time has no deadline yet. */
     private static final long LONGEST_TIMEOUT_NANOS = Integer.MAX_VALUE * 1_000_000L;
 
+    /** The time before its deadline at which the beginning of a long response is passed on. */
+    private static final long RELAY_MARGIN_NANOS = 25_000_000;
+
     /** Receives the events of attempts, on the event loop's thread. */
     interface Listener {
         /** Handles the end of an attempt, which has its outcome; called once. */
@@ -63,14 +66,23 @@
         target.send(call.request().upload(), this);
     }
 
-    /** Schedules the end of the attempt at its deadline. */
+    /** Schedules the end of the attempt at its deadline; just before, the beginning of a long response is passed on. */
     void scheduleTimeout() {
-        cancelTimeout = clock.at(deadline(), () -> {
-            closeConnection();
-            ended(Outcome.TIMED_OUT, null);
+        cancelTimeout = clock.at(deadline() - RELAY_MARGIN_NANOS, () -> {
+            if (connection != null) {
+                connection.relayBeforeTimeout();
+            }
+            if (!isFinished()) {
+                cancelTimeout = clock.at(deadline(), this::timeOut);
+            }
         });
     }
 
+    private void timeOut() {
+        closeConnection();
+        ended(Outcome.TIMED_OUT, null);
+    }
+
     /** Restarts the attempt's time, as the request's body is complete, and schedules its timeout. */
     void restartTimeout(long now, long newDeadline) {
         startedAt = now;
--- a/balancer/src/main/java/gorsestack/settings/UpstreamLimits.java
+++ b/balancer/src/main/java/gorsestack/settings/UpstreamLimits.java
@@ -18,11 +18,9 @@
  * @param quarantineReuseDelayNanos the same for an upstream in quarantine: ten times as long
  * @param quarantineNanos how long the longer delay applies after an upstream has sent a second response to one request. A new connection
  *     costs the upstream a hundredth of a call, and the fault, where it occurs, recurs every second or two.
- * @param responseStallTimeoutNanos the longest pause within a response whose body has at most {@link BufferLimits#bodyBytes()}, or before
- *     a larger response is buffered or forwarded: twice the longest pause that occurs in a day, as upstreams write a small response at
- *     once. A larger response that is buffered is forwarded after this time even if it is incomplete.
- * @param streamStallTimeoutNanos the longest pause within a body that is being forwarded, in either direction, or within a larger response
- *     that is buffered. A body that is being forwarded cannot be requested from another upstream, and a sender or receiver that pauses for
+ * @param bufferingTimeoutNanos how long a response that is larger than {@link BufferLimits#bodyBytes()} may be buffered so that the call
+ *     can still be retried; it is forwarded after this time even if it is incomplete
+ * @param streamStallTimeoutNanos the longest pause within a body that is being forwarded, in either direction. A body that is being forwarded cannot be requested from another upstream, and a sender or receiver that pauses for
  *     longer has stopped.
  * @param drainGraceNanos the time after which a request that is sent to a draining upstream counts as an invariant violation; not used
  *     for decisions
@@ -36,7 +34,7 @@
         long reuseDelayNanos,
         long quarantineReuseDelayNanos,
         long quarantineNanos,
-        long responseStallTimeoutNanos,
+        long bufferingTimeoutNanos,
         long streamStallTimeoutNanos,
         long drainGraceNanos) {
 
@@ -61,7 +59,7 @@
         long reuseDelayNanos = TimeUnit.MILLISECONDS.toNanos(10);
         long quarantineReuseDelayNanos = TimeUnit.MILLISECONDS.toNanos(100);
         long quarantineNanos = TimeUnit.MILLISECONDS.toNanos(10_000);
-        long responseStallTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(250);
+        long bufferingTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(250);
         long streamStallTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(5_000);
         return new UpstreamLimits(
                 maxConnections,
@@ -72,7 +70,7 @@
                 reuseDelayNanos,
                 quarantineReuseDelayNanos,
                 quarantineNanos,
-                responseStallTimeoutNanos,
+                bufferingTimeoutNanos,
                 streamStallTimeoutNanos,
                 drainGraceNanos);
     }
--- a/balancer/src/main/java/gorsestack/wire/ResponseBuffering.java
+++ b/balancer/src/main/java/gorsestack/wire/ResponseBuffering.java
@@ -8,6 +8,13 @@
  * it as it arrives. Used by {@link UpstreamConnection} on the event loop's thread only.
  */
 final class ResponseBuffering {
+    /** Body bytes that must have arrived before a large response is relayed; with fewer, its declared length may not fit its body. */
+    private static final int MIN_RELAYED_BYTES = 4 << 10;
+    /** Body bytes from which a response without a declared length is taken for the beginning of a long one when its attempt times out. */
+    private static final int MIN_LONG_BYTES = 4_000;
+    /** Time since its last byte within which an upstream is taken to be still sending. */
+    private static final long PROGRESS_NANOS = 1_000_000_000L;
+
     private final Limits limits;
     private final EventLoop eventLoop;
     private final UpstreamConnectionOwner owner;
@@ -35,27 +42,38 @@
         return active;
     }
 
+    /** Returns whether the response that is arriving for this attempt is large and has to be relayed now. */
+    boolean mustRelay(HttpParser parser, AttemptListener attempt) {
+        return parser.large() && parser.bodyBytes() >= MIN_RELAYED_BYTES && !buffers(parser, attempt);
+    }
+
+    /**
+     * Returns whether the response that has arrived so far is the beginning of a long one.
+     *
+     * @param silentNanos the time since its last byte
+     */
+    boolean beginsLongResponse(HttpParser parser, long silentNanos) {
+        if (parser.head() == null) {
+            return false;
+        }
+        boolean declaredLong = parser.contentLength() > limits.buffer().bodyBytes();
+        boolean lengthUnknown = parser.contentLength() < 0;
+        return declaredLong || (lengthUnknown && parser.bodyBytes() >= MIN_LONG_BYTES && silentNanos < PROGRESS_NANOS);
+    }
+
     /** Returns whether the large response that is arriving for this attempt is buffered, and reserves or releases its place. */
-    boolean buffers(HttpParser parser, AttemptListener attempt) {
+    private boolean buffers(HttpParser parser, AttemptListener attempt) {
         if (Math.max(parser.contentLength(), parser.bodyBytes())
                 > limits.buffer().bufferedResponseBytes()) {
             release();
         } else if (!active && owner.bufferBudget().reserveBufferedResponse()) {
             active = true;
             eventLoop.at(
-                    eventLoop.now() + limits.upstream().responseStallTimeoutNanos(),
-                    () -> onSlowResponse.accept(attempt));
+                    eventLoop.now() + limits.upstream().bufferingTimeoutNanos(), () -> onSlowResponse.accept(attempt));
         }
         return active;
     }
 
-    /** Returns how long a response that has begun may be silent, in nanoseconds. */
-    long stallTimeout(boolean relayed) {
-        return relayed || active
-                ? limits.upstream().streamStallTimeoutNanos()
-                : limits.upstream().responseStallTimeoutNanos();
-    }
-
     void release() {
         if (active) {
             active = false;
--- a/balancer/src/main/java/gorsestack/wire/StallDetector.java
+++ b/balancer/src/main/java/gorsestack/wire/StallDetector.java
@@ -47,6 +47,11 @@
         lastByteAt = eventLoop.now();
     }
 
+    /** Returns when bytes last arrived, or reading was last paused or resumed. */
+    long lastByteAt() {
+        return lastByteAt;
+    }
+
     /** Begins to watch an incomplete response, unless it is being watched already. */
     void watch() {
         if (incomplete.getAsBoolean() && !checkScheduled) {
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -10,9 +10,6 @@
  * ({@link #mayBeSent}).
  */
 public final class UpstreamConnection implements ConnectionHandler, BodyRelay.Source, BodyRelay.Target {
-    /** Body bytes that must have arrived before a large response is relayed; with fewer, its declared length may not fit its body. */
-    private static final int MIN_RELAYED_BYTES = 4 << 10;
-
     /** The upstream's name. */
     public final String upstream;
     /** The upstream's address when the connection was opened. */
@@ -60,8 +57,8 @@
         buffering = new ResponseBuffering(limits, eventLoop, owner, this::stopBuffering);
         stallDetector = new StallDetector(
                 eventLoop,
-                this::responseIncomplete,
-                () -> buffering.stallTimeout(download != null),
+                () -> !closed && download != null,
+                limits.upstream()::streamStallTimeoutNanos,
                 () -> end(Outcome.MALFORMED_RESPONSE));
         sendStallDetector = new SendStallDetector(
                 limits,
@@ -193,10 +190,7 @@
             int used = parser.feed(bytes, 0, bytes.length);
             if (parser.done()) {
                 responseComplete(used < bytes.length);
-            } else if (attempt != null
-                    && parser.large()
-                    && parser.bodyBytes() >= MIN_RELAYED_BYTES
-                    && !buffering.buffers(parser, attempt)) {
+            } else if (attempt != null && buffering.mustRelay(parser, attempt)) {
                 relayResponse();
             }
             stallDetector.watch();
@@ -205,10 +199,6 @@
         }
     }
 
-    private boolean responseIncomplete() {
-        return !closed && expectsBytes() && parser.begun();
-    }
-
     /** Returns whether a response is awaited or being relayed. */
     private boolean expectsBytes() {
         return attempt != null || download != null;
@@ -217,12 +207,17 @@
     /** Relays a large response that arrives slowly: it is not known when it will be complete. */
     private void stopBuffering(AttemptListener buffered) {
         if (buffering.active() && attempt == buffered) {
-            buffering.release();
-            try {
-                relayResponse();
-            } catch (MalformedMessageException e) {
-                end(Outcome.MALFORMED_RESPONSE);
-            }
+            stopBuffering();
+        }
+    }
+
+    private void stopBuffering() {
+        buffering.release();
+        try {
+            relayResponse();
+            stallDetector.watch();
+        } catch (MalformedMessageException e) {
+            end(Outcome.MALFORMED_RESPONSE);
         }
     }
 
@@ -284,6 +279,18 @@
         }
     }
 
+    /**
+     * Relays an incomplete response, shortly before its attempt times out, if it is the beginning of a long one: then its first bytes are
+     * in time. What is short, or has stopped, would reach the client late or never; the attempt is left to time out.
+     */
+    public void relayBeforeTimeout() {
+        if (attempt != null
+                && request.written()
+                && buffering.beginsLongResponse(parser, eventLoop.now() - stallDetector.lastByteAt())) {
+            stopBuffering();
+        }
+    }
+
     /**
      * Cancels the attempt and closes its connection, so that a late response reaches nobody. A connection that is still being established
      * has carried nothing and may be kept for the next attempt.
