Incomplete responses of all calls together occupy bounded memory

Cause: BufferBudget bounds requests, relayed bodies and what waits for clients, but not what a parser on a connection to an upstream collects.

Change: ResponseBuffering counts it; past 4 MiB in all a response is relayed before it is complete, where back pressure holds. Bodies of errors, which nobody reads, are not held.

--- a/balancer/src/main/java/gorsestack/settings/BufferLimits.java
+++ b/balancer/src/main/java/gorsestack/settings/BufferLimits.java
@@ -19,6 +19,8 @@
  * @param bufferedResponseBytes the largest response that is buffered until it is complete
  * @param maxBufferedResponses the number of responses that may be buffered at the same time; together with the copies that are being
  *     written, they take a sixth of the heap
+ * @param totalIncompleteResponseBytes the bytes of incomplete responses that may be buffered for all calls together; past that, responses
+ *     are relayed before they are complete: a ninth of the heap
  * @param readAheadBytes the bytes that may have been read from one connection before the event loop handles them. Without a limit, 60 MB
  *     that arrive at full speed would exceed the heap.
  * @param totalReadAheadBytes the same for all connections together: a tenth of the heap
@@ -39,6 +41,7 @@
         int unroutedBodyBytes,
         int bufferedResponseBytes,
         int maxBufferedResponses,
+        int totalIncompleteResponseBytes,
         int readAheadBytes,
         long totalReadAheadBytes,
         int sendBufferBytes,
@@ -61,6 +64,7 @@
         int unroutedBodyBytes = MIB;
         int bufferedResponseBytes = 256 * KIB;
         int maxBufferedResponses = 8;
+        int totalIncompleteResponseBytes = 4 * MIB;
         int readAheadBytes = 48 * KIB;
         long totalReadAheadBytes = 4L * MIB;
         int sendBufferBytes = 128 * KIB;
@@ -78,6 +82,7 @@
                 unroutedBodyBytes,
                 bufferedResponseBytes,
                 maxBufferedResponses,
+                totalIncompleteResponseBytes,
                 readAheadBytes,
                 totalReadAheadBytes,
                 sendBufferBytes,
--- a/balancer/src/main/java/gorsestack/wire/BufferBudget.java
+++ b/balancer/src/main/java/gorsestack/wire/BufferBudget.java
@@ -21,6 +21,8 @@
     private int requestBytes;
     /** Bytes of responses that all clients together have not been sent yet. */
     private long responseBytes;
+    /** Bytes of incomplete responses that are buffered for all calls together. */
+    private int incompleteResponseBytes;
     /** Number of requests refused for lack of memory since the last call of {@link #getAndResetRefused}. */
     private int refusedRequests;
 
@@ -112,6 +114,16 @@
         return responseBytes > limits.buffer().totalResponseBytes();
     }
 
+    /** Counts bytes of an incomplete response that is buffered or, with a negative number, no longer is. */
+    void addIncompleteResponseBytes(int change) {
+        incompleteResponseBytes += change;
+    }
+
+    /** Returns whether the incomplete responses that are buffered occupy more memory than they may, so that one has to be relayed. */
+    boolean incompleteResponsesExceedLimit() {
+        return incompleteResponseBytes > limits.buffer().totalIncompleteResponseBytes();
+    }
+
     /** Returns the number of requests refused for lack of memory since the last call. */
     public int getAndResetRefused() {
         int count = refusedRequests;
--- a/balancer/src/main/java/gorsestack/wire/ResponseBuffering.java
+++ b/balancer/src/main/java/gorsestack/wire/ResponseBuffering.java
@@ -1,5 +1,6 @@
 package gorsestack.wire;
 
+import gorsestack.decision.Outcome;
 import gorsestack.settings.Limits;
 import java.util.function.Consumer;
 
@@ -21,6 +22,8 @@
     private final Consumer<AttemptListener> onSlowResponse;
     /** Whether a place in the budget is reserved. */
     private boolean active;
+    /** Bytes of the response that are counted in the budget. */
+    private int countedBytes;
 
     /**
      * Creates the state of a connection that buffers nothing.
@@ -42,9 +45,29 @@
         return active;
     }
 
-    /** Returns whether the response that is arriving for this attempt is large and has to be relayed now. */
+    /**
+     * Counts what has arrived of the response to this attempt, and returns whether it has to be relayed now: it is large, or the incomplete
+     * responses of all calls occupy too much memory. The body of an error, which nobody reads, is not held.
+     */
     boolean mustRelay(HttpParser parser, AttemptListener attempt) {
-        return parser.large() && parser.bodyBytes() >= MIN_RELAYED_BYTES && !buffers(parser, attempt);
+        boolean failed = parser.head() != null && AttemptOutcomes.ofResponse(parser.head()) != Outcome.FULFILLED;
+        if (failed) {
+            parser.streamTo((bytes, offset, length) -> {});
+        }
+        count(parser.heldBytes());
+        if (failed) {
+            return Math.max(parser.contentLength(), parser.bodyBytes())
+                    > limits.buffer().bodyBytes(); // Its end is not waited for.
+        }
+        if (parser.bodyBytes() < MIN_RELAYED_BYTES) {
+            return false;
+        }
+        return parser.large() ? !buffers(parser, attempt) : owner.bufferBudget().incompleteResponsesExceedLimit();
+    }
+
+    private void count(int bytes) {
+        owner.bufferBudget().addIncompleteResponseBytes(bytes - countedBytes);
+        countedBytes = bytes;
     }
 
     /**
@@ -65,7 +88,7 @@
     private boolean buffers(HttpParser parser, AttemptListener attempt) {
         if (Math.max(parser.contentLength(), parser.bodyBytes())
                 > limits.buffer().bufferedResponseBytes()) {
-            release();
+            releasePlace();
         } else if (!active && owner.bufferBudget().reserveBufferedResponse()) {
             active = true;
             eventLoop.at(
@@ -74,7 +97,13 @@
         return active;
     }
 
+    /** Releases what is reserved and counted, as the response is complete, is relayed or has ended. */
     void release() {
+        count(0);
+        releasePlace();
+    }
+
+    private void releasePlace() {
         if (active) {
             active = false;
             owner.bufferBudget().releaseBufferedResponse();
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -9,7 +9,7 @@
  * states and their transitions. Owned by a pool and used on the event loop's thread, except for the check before a request's first byte
  * ({@link #mayBeSent}).
  */
-public final class UpstreamConnection implements ConnectionHandler, BodyRelay.Source, BodyRelay.Target {
+public final class UpstreamConnection implements ConnectionHandler, BodyRelay.Target {
     /** The upstream's name. */
     public final String upstream;
     /** The upstream's address when the connection was opened. */
@@ -127,20 +127,6 @@
         return channel.unsent();
     }
 
-    @Override
-    public void pauseBody(boolean paused) {
-        stallDetector.pause(paused);
-        channel.suspendReading(paused);
-    }
-
-    @Override
-    public void bodyCancelled() {
-        close();
-    }
-
-    @Override
-    public void bodyNotReplayable() {}
-
     @Override
     public void opened(Channel opened) {
         channel = opened;
@@ -212,7 +198,6 @@
     }
 
     private void stopBuffering() {
-        buffering.release();
         try {
             relayResponse();
             stallDetector.watch();
@@ -268,7 +253,9 @@
         if (!request.written()) {
             throw new MalformedMessageException(502, "a response arrived before its request was sent");
         }
-        BodyRelay relay = new BodyRelay(parser.contentLength(), parser.body(), owner.bufferBudget(), this);
+        buffering.release();
+        BodyRelay.Source source = new ResponseSource(channel, stallDetector, this::close);
+        BodyRelay relay = new BodyRelay(parser.contentLength(), parser.body(), owner.bufferBudget(), source);
         parser.streamTo(relay::relay);
         AttemptListener fulfilled = attempt;
         attempt = null;
