A call whose upload is held back has its response in time

Cause: the deadline of a call with a large body is set when its last byte is read. While the upstream does not read, this side does not either (back pressure), so the byte waits in the buffers of the systems, and the client counts its time from when it sent it.

Change: BodyArrival estimates the earliest time at which the last byte may have been sent: when reading was first held back, or, for longer bodies, when all but the last 8 MiB (what systems hold unread) had been read; reading that went on for 100 ms has caught up. The call's time counts from there, both while the body is held back (504, counter refusals.body_held_back) and once it is complete. The handling of uploads leaves CallDispatcher. LargeBodyTest's upload that an upstream stops reading is 20 MB now instead of 0.4, as a shorter one ends by its deadline before the 5 s of that test.

--- a/balancer/src/main/java/gorsestack/invariant/RejectionReason.java
+++ b/balancer/src/main/java/gorsestack/invariant/RejectionReason.java
@@ -13,5 +13,7 @@
     /** The call has the same id as a call in flight. */
     SAME_ID,
     /** The call had no response at its deadline, so the backstop timer sent one. */
-    LEFT_UNANSWERED
+    LEFT_UNANSWERED,
+    /** The upstream read the call's large body too slowly: its client may have sent all of it and no longer waits. */
+    BODY_HELD_BACK
 }
--- a/balancer/src/main/java/gorsestack/proxy/ActiveCall.java
+++ b/balancer/src/main/java/gorsestack/proxy/ActiveCall.java
@@ -18,7 +18,10 @@
 
     private Request request;
     private int attemptsInFlight;
-    private Runnable cancelDeadlineBackstop;
+    private Runnable cancelDeadlineTimer = () -> {};
+    /** Whether a timer watches that the body of the request is read on. */
+    private boolean heldBackWatched;
+
     private volatile boolean ended;
     private long endedAt = Long.MAX_VALUE;
     private boolean clientDisconnected;
@@ -29,9 +32,18 @@
         this.request = request;
     }
 
-    /** Sets the action that cancels the timer which responds shortly before the call's deadline if nothing else has. */
-    void deadlineBackstop(Runnable cancel) {
-        cancelDeadlineBackstop = cancel;
+    /** Sets the action that cancels the timer which responds at the call's deadline, and cancels an earlier timer. */
+    void deadlineTimer(Runnable cancel) {
+        cancelDeadlineTimer.run();
+        cancelDeadlineTimer = cancel;
+    }
+
+    boolean heldBackWatched() {
+        return heldBackWatched;
+    }
+
+    void heldBackWatched(boolean watched) {
+        heldBackWatched = watched;
     }
 
     /** Returns the request; once the call has ended, without its body. */
@@ -46,9 +58,7 @@
         endedAt = clock.now();
         // Attempts may be in flight for seconds after their call; without this, each would occupy the memory of a body.
         request = request.withoutBody();
-        if (cancelDeadlineBackstop != null) {
-            cancelDeadlineBackstop.run();
-        }
+        cancelDeadlineTimer.run();
     }
 
     /** Ends the call, as its client disconnected before the response. */
--- a/balancer/src/main/java/gorsestack/proxy/CallDeadlines.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallDeadlines.java
@@ -46,13 +46,42 @@
     long start(ActiveCall call, long arrivedAt) {
         long timeout = products.clientTimeout(call.request());
         long deadline = Math.min(arrivedAt + timeout, latestResponseAt);
-        call.deadlineBackstop(
+        call.deadlineTimer(
                 eventLoop.at(deadline - limits.call().deadlineBackstopNanos(), () -> respondAtDeadline(call)));
         // On a shared core a response may be delayed before it is written, as was seen at a start (rule 1).
         long responseMargin = Math.min(limits.call().responseMarginNanos(), timeout / RESPONSE_MARGIN_DIVISOR);
         return Math.max(0, deadline - responseMargin - clock.tick());
     }
 
+    /**
+     * Watches a call whose large request body is not read on, unless that is done already. Its client may have sent the last byte, and counts
+     * its time from then; without this, it would have no response until an upstream reads the body or gives up.
+     */
+    void watchHeldBack(ActiveCall call) {
+        if (!call.heldBackWatched() && !call.hasEnded()) {
+            call.heldBackWatched(true);
+            eventLoop.execute(() -> checkHeldBack(call));
+        }
+    }
+
+    private void checkHeldBack(ActiveCall call) {
+        long sentAt = call.client.uploadMayBeCompleteSince();
+        if (call.hasEnded() || sentAt == Long.MAX_VALUE) {
+            call.heldBackWatched(false);
+            return;
+        }
+        long timeout = products.clientTimeout(call.request());
+        long margin = Math.min(limits.call().responseMarginNanos(), timeout / RESPONSE_MARGIN_DIVISOR);
+        long respondBy = Math.min(
+                sentAt + timeout - margin, latestResponseAt - limits.call().deadlineBackstopNanos());
+        if (eventLoop.now() < respondBy) {
+            call.deadlineTimer(eventLoop.at(respondBy, () -> checkHeldBack(call)));
+            return;
+        }
+        invariants.rejected(RejectionReason.BODY_HELD_BACK);
+        abort(call);
+    }
+
     /** Limits the deadlines that are set from now on to {@code newLatestResponseAt}. */
     void limit(long newLatestResponseAt) {
         latestResponseAt = newLatestResponseAt;
--- a/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
@@ -41,7 +41,6 @@
     private final InputClock clock;
     private final BufferBudget bufferBudget;
     private final UpstreamConnectionPool pool;
-    private final long clockResolution;
     private final Random random;
     private final BalancingPolicy policy;
     private final ClientConnectionManager clients;
@@ -55,6 +54,7 @@
     private final AttemptRunner attempts;
     private final CallResponder responder;
     private final CallDeadlines deadlines;
+    private final UploadEvents uploads;
     private final MaintenanceControl maintenance;
     private final BalancerStatus status;
     private PeerChannel peerChannel;
@@ -75,7 +75,6 @@
         this.limits = limits;
         this.clock = new InputClock(eventLoop);
         this.bufferBudget = new BufferBudget(limits);
-        this.clockResolution = settings.clockResolution();
         this.pool = new UpstreamConnectionPool(network, limits, eventLoop, bufferBudget);
         this.random = new Random(seed);
         this.clients = new ClientConnectionManager(eventLoop, limits, network, bufferBudget);
@@ -92,6 +91,7 @@
                 eventLoop, limits, clock, policy, pool, products, calls, this, invariants, auditor, trace, loadReports);
         this.responder = new CallResponder(eventLoop, clock, calls, recovery, invariants, auditor, trace);
         this.deadlines = new CallDeadlines(eventLoop, limits, clock, products, policy, responder, invariants);
+        this.uploads = new UploadEvents(calls, deadlines, attempts, policy, clock, settings.clockResolution());
         this.maintenance = new MaintenanceControl(limits, clock, policy, pool, clients);
         this.status = new BalancerStatus(calls, clients, invariants, recovery);
         eventLoop.at(eventLoop.now() + limits.call().sweepIntervalNanos(), this::sweep);
@@ -131,21 +131,17 @@
 
     @Override
     public void requestNotReplayable(ClientConnection client) {
-        ActiveCall call = calls.byClient(client);
-        if (call != null) {
-            policy.onRequestBody(clock.tick(), call.id, -1);
-        }
+        uploads.notReplayable(client);
+    }
+
+    @Override
+    public void requestHeldBack(ClientConnection client) {
+        uploads.heldBack(client);
     }
 
     @Override
     public void requestBodyComplete(ClientConnection client, long arrivedAt) {
-        ActiveCall call = calls.byClient(client);
-        if (call != null) {
-            long remaining = deadlines.start(call, arrivedAt);
-            long now = clock.inputTime();
-            attempts.restartTimeouts(call, now + remaining - 2 * clockResolution);
-            policy.onRequestBody(now, call.id, remaining);
-        }
+        uploads.complete(client, arrivedAt);
     }
 
     @Override
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -53,8 +53,8 @@
         this.eventLoop = eventLoop;
         this.handler = handler;
         timings = new ClientTimings(limits);
-        reader = new ClientRequestReader(limits, eventLoop, this, handler, timings);
         writer = new ClientResponseWriter(limits, eventLoop, handler.bufferBudget());
+        reader = new ClientRequestReader(limits, eventLoop, this, handler, timings, writer);
     }
 
     /** Changes the state, except from {@code ENDING}, which is final. */
@@ -328,16 +328,16 @@
         return closedOrEnding() ? Long.MAX_VALUE : reader.stalledSince();
     }
 
+    /** Returns the earliest time at which the client may have sent all of a relayed body that is incomplete; Long.MAX_VALUE for never. */
+    public long uploadMayBeCompleteSince() {
+        return reader.uploadMayBeCompleteSince();
+    }
+
     /** Returns since when the client has read nothing of responses that wait to be sent; Long.MAX_VALUE if there are none. */
     public long responseStalledSince() {
         return closed ? Long.MAX_VALUE : writer.stalledSince();
     }
 
-    /** Returns whether a request that was sent ahead must wait, as the client does not read the responses to earlier ones. */
-    boolean responsesWait() {
-        return writer.congested();
-    }
-
     /** Closes the connection between calls, unless a request has begun; the socket decides, as one may be read just now. */
     public void closeIfIdle() {
         if (state == State.IDLE && !reader.begun() && !reader.hasReadAhead()) {
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestHandler.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestHandler.java
@@ -19,7 +19,14 @@
     /** Called when part of the relayed body of the open call is no longer held: the request cannot be sent a second time. */
     void requestNotReplayable(ClientConnection from);
 
-    /** Called when the relayed body of the open call has arrived to its last byte. */
+    /** Called when the relayed body of the open call is not read on, so that its last byte may have been sent without being seen. */
+    default void requestHeldBack(ClientConnection from) {}
+
+    /**
+     * Called when the relayed body of the open call has arrived to its last byte.
+     *
+     * @param arrivedAt the earliest time at which the client may have sent that byte, on the event loop's clock
+     */
     void requestBodyComplete(ClientConnection from, long arrivedAt);
 
     /** Returns the budget for the memory that all large bodies share. */
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -17,6 +17,7 @@
     private final ClientConnection connection;
     private final ClientRequestHandler handler;
     private final ClientTimings timings;
+    private final ClientResponseWriter responses;
     private final ReadAheadQueue readAhead;
     private HttpParser parser;
     private Channel channel;
@@ -25,6 +26,9 @@
     /** Relays the body of the open request; null unless the body is large. */
     private BodyRelay upload;
 
+    /** Estimates when the client may have sent all of the body that is relayed; null unless there is one. */
+    private BodyArrival uploadArrival;
+
     private boolean uploadPaused;
     /** Whether the client sends requests without waiting for responses. */
     private boolean pipelining;
@@ -48,12 +52,14 @@
             EventLoop eventLoop,
             ClientConnection connection,
             ClientRequestHandler handler,
-            ClientTimings timings) {
+            ClientTimings timings,
+            ClientResponseWriter responses) {
         this.limits = limits;
         this.eventLoop = eventLoop;
         this.connection = connection;
         this.handler = handler;
         this.timings = timings;
+        this.responses = responses;
         readAhead = new ReadAheadQueue(handler);
         parser = HttpParser.request(limits);
     }
@@ -118,13 +124,13 @@
 
     /** Returns whether the next request must not begin yet, as the client does not read the responses to earlier ones. */
     private boolean mustWaitForClient() {
-        waitsForClient = !parser.begun() && connection.responsesWait();
+        waitsForClient = !parser.begun() && responses.congested();
         return waitsForClient;
     }
 
     /** Goes on with requests that wait until the client has read responses, if it has. */
     void responsesSent() {
-        if (waitsForClient && !connection.responsesWait()) {
+        if (waitsForClient && !responses.congested()) {
             waitsForClient = false;
             scheduleParse();
         }
@@ -187,6 +193,7 @@
     public void pauseBody(boolean paused) {
         uploadPaused = paused;
         timings.progressed(eventLoop.now());
+        recordPause(paused);
         if (!paused && !readAhead.isEmpty()) {
             scheduleParse();
         } else if (paused && readingSuspended && mayReadAhead()) {
@@ -194,6 +201,20 @@
         }
     }
 
+    private void recordPause(boolean paused) {
+        if (paused && uploading()) {
+            uploadArrival.pause(eventLoop.now());
+            handler.requestHeldBack(connection);
+        } else if (upload != null) {
+            uploadArrival.resume(eventLoop.now());
+        }
+    }
+
+    /** Returns the earliest time at which the client may have sent the whole body; {@link BodyArrival#INCOMPLETE} if it cannot have. */
+    long uploadMayBeCompleteSince() {
+        return uploading() ? uploadArrival.mayBeCompleteSince(eventLoop.now()) : BodyArrival.INCOMPLETE;
+    }
+
     @Override
     public void bodyNotReplayable() {
         handler.requestNotReplayable(connection);
@@ -219,10 +240,10 @@
             if (upload == null
                     && parser.large()
                     && parser.bodyBytes() > limits.buffer().bodyBytes()) {
-                upload = new BodyRelay(parser.contentLength(), parser.body(), handler.bufferBudget(), this);
-                parser.streamTo(upload::relay);
-                upload.awaitTarget();
-                connection.handle(parser.head(), new byte[0], upload, lastByteAt);
+                beginUpload();
+            }
+            if (upload != null) {
+                uploadArrival.read(lastByteAt, parser.bodyBytes());
             }
             countBytes();
         } catch (MalformedMessageException e) {
@@ -230,6 +251,14 @@
         }
     }
 
+    private void beginUpload() {
+        upload = new BodyRelay(parser.contentLength(), parser.body(), handler.bufferBudget(), this);
+        uploadArrival = new BodyArrival(parser.contentLength());
+        parser.streamTo(upload::relay);
+        upload.awaitTarget();
+        connection.handle(parser.head(), new byte[0], upload, lastByteAt);
+    }
+
     private void requestComplete(byte[] bytes, int used) throws MalformedMessageException {
         // The declared length may be too short: if the bytes behind the body cannot begin a request, the call is not
         // the one that the client meant.
@@ -247,8 +276,9 @@
         }
         connection.requestComplete();
         if (upload != null) {
+            long sentAt = Math.min(lastByteAt, uploadArrival.mayBeCompleteSince(eventLoop.now()));
             upload.complete();
-            handler.requestBodyComplete(connection, lastByteAt);
+            handler.requestBodyComplete(connection, sentAt);
         } else {
             connection.handle(parser.head(), parser.body(), null, lastByteAt);
         }
--- a/balancer/src/test/java/gorsestack/proxy/CallTableTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/CallTableTest.java
@@ -85,7 +85,7 @@
     void endingACallRecordsTimeAndDisconnectAndCancelsItsDeadlineTimer() {
         ActiveCall call = calls.add(fixture.client(), CallFixture.request("c"));
         boolean[] cancelled = {false};
-        call.deadlineBackstop(() -> cancelled[0] = true);
+        call.deadlineTimer(() -> cancelled[0] = true);
         assertEquals(Long.MAX_VALUE, call.endedAt());
         fixture.now = 7;
         call.endDisconnected(fixture);
--- a/balancer/src/test/java/gorsestack/proxy/LargeBodyTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/LargeBodyTest.java
@@ -114,12 +114,12 @@
         assertEquals("", client.output);
     }
 
-    /** Guards against an upload that waits for good for an upstream that has stopped reading. */
+    /** Guards against an upload that waits for good for an upstream that has stopped reading, where it is too long to have a deadline. */
     @Test
     void endsAnUploadWhoseUpstreamHasStoppedReading() throws IOException {
         DispatcherRig rig = DispatcherRig.withUpstreams(1);
         FakeSocket client = rig.client();
-        client.send(largeRequest("c1", 400_000, 70_000));
+        client.send(largeRequest("c1", 20_000_000, 70_000));
         FakeSocket upstream = rig.lastUsed();
         upstream.peerStopped = true;
         while (!client.readingSuspended) {
