A call that may have run is not run again when its id comes again

Cause: an id was known only while its call was open. Once the client had left, the attempts might still run or have run, and the same id on another connection began a new call. The other process of an upgrade never knew it.

Without the file each process has its own, and a log line says so.

UpgradeTest counted three files in the folder; there are four now, as its message says.

--- a/balancer/src/main/java/gorsestack/admin/Handover.java
+++ b/balancer/src/main/java/gorsestack/admin/Handover.java
@@ -137,6 +137,19 @@
                 clock);
     }
 
+    /**
+     * Opens the table of executed calls that a balancer's processes share. Without the file, for instance on a full disk, the table is that
+     * of this process alone.
+     */
+    public static ExecutedCalls executedCalls(Path folder, String name) {
+        try {
+            return ExecutedCalls.shared(folder.resolve(fileName(name) + ".calls"));
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "executed_calls_not_shared error={0}", e.toString());
+            return ExecutedCalls.inMemory();
+        }
+    }
+
     /** Runs a periodic task and logs what it throws. Without this, the scheduler silently cancels a task at its first exception. */
     private static void guarded(String task, Runnable run) {
         try {
--- a/balancer/src/main/java/gorsestack/proxy/ActiveCall.java
+++ b/balancer/src/main/java/gorsestack/proxy/ActiveCall.java
@@ -16,6 +16,9 @@
     final ClientConnection client;
     final List<UpstreamAttempt> attempts = new ArrayList<>();
 
+    /** Whether the id is recorded as that of a call that must not run again. */
+    private final boolean claimed;
+
     private Request request;
     private int attemptsInFlight;
     private Runnable cancelDeadlineTimer = () -> {};
@@ -26,10 +29,20 @@
     private long endedAt = Long.MAX_VALUE;
     private boolean clientDisconnected;
 
-    ActiveCall(String id, ClientConnection client, Request request) {
+    ActiveCall(String id, ClientConnection client, Request request, boolean claimed) {
         this.id = id;
         this.client = client;
         this.request = request;
+        this.claimed = claimed;
+    }
+
+    boolean claimed() {
+        return claimed;
+    }
+
+    /** Returns whether an upstream may have begun the work, as far as is known so far. */
+    boolean mayHaveExecuted() {
+        return attempts.stream().anyMatch(UpstreamAttempt::mayHaveExecuted);
     }
 
     /** Sets the action that cancels the timer which responds at the call's deadline, and cancels an earlier timer. */
--- a/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gorsestack.admin.AdminServer;
+import gorsestack.admin.ExecutedCalls;
 import gorsestack.decision.BalancingPolicy;
 import gorsestack.decision.LearnedLocality;
 import gorsestack.decision.PolicyActions;
@@ -107,19 +108,18 @@
     @Override
     public void call(ClientConnection client, Request request, long arrivedAt) {
         if (clients.full()) {
-            // Prevents running out of descriptors: the call is rejected and its connection is closed.
             callsRejected++;
             invariants.rejected(RejectionReason.NO_ROOM);
             client.respond(Response.own(503, "", "too many connections"));
             return;
         }
-        if (calls.isOpen(request.id())) {
-            // Prevents two open calls with one id: an upstream would take the second for a duplicate of the first.
+        if (!calls.claim(request.id(), products.isIdempotent(request))) {
             invariants.rejected(RejectionReason.SAME_ID);
-            client.reject(new MalformedMessageException(409, "this X-Correlation-Id is that of an open call"));
+            client.reject(
+                    new MalformedMessageException(409, "a call with this X-Correlation-Id is open or may have run"));
             return;
         }
-        ActiveCall call = calls.add(client, request);
+        ActiveCall call = calls.add(client, request, !products.isIdempotent(request));
         // While the large body of a call is incomplete, its deadline is not set.
         long remaining = request.upload() != null ? Long.MAX_VALUE : deadlines.start(call, arrivedAt);
         recovery.onCall(clock.inputTime(), request.markedAsRetry());
@@ -179,6 +179,11 @@
         recovery.onDiscoveryRejection();
     }
 
+    /** Sets the table of executed calls that this process shares with others of the same balancer; called before the first call. */
+    public void setExecutedCalls(ExecutedCalls executed) {
+        calls.setExecuted(executed);
+    }
+
     /** Sets the channel that carries messages to other balancers; without one none are sent. */
     public void setPeerChannel(PeerChannel channel) {
         peerChannel = channel;
--- a/balancer/src/main/java/gorsestack/proxy/CallTable.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallTable.java
@@ -1,5 +1,6 @@
 package gorsestack.proxy;
 
+import gorsestack.admin.ExecutedCalls;
 import gorsestack.wire.ClientConnection;
 import gorsestack.wire.Request;
 import java.util.HashMap;
@@ -16,6 +17,11 @@
     private final Map<String, ActiveCall> openByRequestId = new HashMap<>();
 
     private final Map<ClientConnection, ActiveCall> awaitingResponse = new HashMap<>();
+    private ExecutedCalls executed = ExecutedCalls.inMemory();
+
+    void setExecuted(ExecutedCalls table) {
+        executed = table;
+    }
 
     /** Returns whether a call whose request has this id awaits its response, whether or not its own id has a suffix. */
     boolean isOpen(String requestId) {
@@ -23,13 +29,27 @@
         return call != null && !call.hasEnded();
     }
 
-    /** Adds a call. If an earlier call with the same id still has attempts in flight, a suffix makes the new id unique. */
+    /**
+     * Returns whether a call with this id may be accepted, and claims the id of one that must not be repeated. Prevents two open calls with
+     * one id, as an upstream would take the second for a duplicate of the first, and a second execution of a call whose client has left or
+     * that another process of this balancer has accepted.
+     */
+    boolean claim(String requestId, boolean repeatable) {
+        return !isOpen(requestId) && (repeatable || executed.add(requestId));
+    }
+
+    /** Adds a call that may be repeated. */
     ActiveCall add(ClientConnection client, Request request) {
+        return add(client, request, false);
+    }
+
+    /** Adds a call; {@code claimed} tells that its id was claimed. If an earlier call with the same id still has attempts in flight, a suffix makes the new id unique. */
+    ActiveCall add(ClientConnection client, Request request, boolean claimed) {
         String id = request.id();
         for (int suffix = 2; byId.containsKey(id); suffix++) {
             id = request.id() + "/" + suffix;
         }
-        ActiveCall call = new ActiveCall(id, client, request);
+        ActiveCall call = new ActiveCall(id, client, request, claimed);
         byId.put(id, call);
         openByRequestId.put(request.id(), call);
         awaitingResponse.put(client, call);
@@ -55,10 +75,10 @@
         return call;
     }
 
-    /** Removes the call if it is finished. */
+    /** Removes the call if it is finished, and gives up its claim if it was not executed: then it may be sent again. */
     void removeIfFinished(ActiveCall call) {
-        if (call.isFinished()) {
-            byId.remove(call.id, call);
+        if (call.isFinished() && byId.remove(call.id, call) && call.claimed() && !call.mayHaveExecuted()) {
+            executed.remove(call.request().id());
         }
     }
 
--- a/balancer/src/main/java/gorsestack/proxy/ProductTable.java
+++ b/balancer/src/main/java/gorsestack/proxy/ProductTable.java
@@ -25,6 +25,11 @@
         return product == null ? null : product.repeat();
     }
 
+    /** Returns whether a call may run any number of times. */
+    boolean isIdempotent(Request request) {
+        return of(request).repeat() == Settings.Repeat.IDEMPOTENT;
+    }
+
     /** Returns for how long the client waits, in nanoseconds: its product's timeout, or less if the request states less. */
     long clientTimeout(Request request) {
         long configured = of(request).clientTimeout();
--- a/balancer/src/main/java/gorsestack/server/BalancerServer.java
+++ b/balancer/src/main/java/gorsestack/server/BalancerServer.java
@@ -1,6 +1,7 @@
 package gorsestack.server;
 
 import gorsestack.admin.AdminServer;
+import gorsestack.admin.ExecutedCalls;
 import gorsestack.admin.Handover;
 import gorsestack.decision.LearnedLocality;
 import gorsestack.proxy.CallDispatcher;
@@ -243,12 +244,10 @@
     private void startAdmin(RestorePolicy.Restored restored) throws IOException {
         adminServer = new AdminServer(configuration.limits(), eventLoop, calls);
         Path temporary = Path.of(System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir")));
-        handover = new Handover(
-                restored == null ? temporary : configuration.state(),
-                instanceName(),
-                restored != null,
-                eventLoop,
-                new HandoverListener());
+        Path folder = restored == null ? temporary : configuration.state();
+        ExecutedCalls executed = Handover.executedCalls(folder, instanceName());
+        eventLoop.execute(() -> calls.setExecutedCalls(executed));
+        handover = new Handover(folder, instanceName(), restored != null, eventLoop, new HandoverListener());
         predecessorRunning = handover.hasPredecessor();
         if (predecessorRunning) {
             eventLoop.execute(() -> splitCapacity(true, true));
--- a/balancer/src/test/java/gorsestack/proxy/UpstreamAttemptTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/UpstreamAttemptTest.java
@@ -12,7 +12,7 @@
 /** Tests the states of an attempt, and when its request may be sent. */
 class UpstreamAttemptTest {
     private final CallFixture fixture = new CallFixture();
-    private final ActiveCall call = new ActiveCall("c", fixture.client(), CallFixture.request("c"));
+    private final ActiveCall call = new ActiveCall("c", fixture.client(), CallFixture.request("c"), false);
 
     @Test
     void stateChangesFromConnectingToSentToFinished() {
@@ -64,8 +64,8 @@
         call.end(fixture);
         assertFalse(attempt.mayBeSent());
 
-        UpstreamAttempt finished =
-                fixture.attempt(new ActiveCall("d", fixture.client(), CallFixture.request("d")), 100, Long.MAX_VALUE);
+        UpstreamAttempt finished = fixture.attempt(
+                new ActiveCall("d", fixture.client(), CallFixture.request("d"), false), 100, Long.MAX_VALUE);
         finished.ended(Outcome.CANCELLED, null);
         assertFalse(finished.mayBeSent());
     }
--- a/balancer/src/test/java/gorsestack/server/UpgradeTest.java
+++ b/balancer/src/test/java/gorsestack/server/UpgradeTest.java
@@ -208,10 +208,10 @@
         assertEquals(200, adminRequest(third, "PUT", "/upstreams/s1/ready"));
         try (Stream<Path> files = Files.list(folder)) {
             assertEquals(
-                    3,
+                    4,
                     files.filter(f -> f.getFileName().toString().startsWith("gorsestack-"))
                             .count(),
-                    "the state file, its previous version and the lock file");
+                    "the state file, its previous version, the lock file and the table of executed calls");
         }
     }
 
