--- a/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
+++ b/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
@@ -200,10 +200,15 @@
         }
     }
 
-    /** Returns the number of attempts for which no connection was available, and resets it. */
-    int getAndResetWithoutConnectionCount() {
-        int count = attemptsWithoutConnection;
-        attemptsWithoutConnection = 0;
-        return count;
+    /** Logs how many attempts had no connection, and how many calls were rejected for that reason, since the last call; none if 0. */
+    void logWithoutConnection(int callsRejected) {
+        if (attemptsWithoutConnection + callsRejected > 0) {
+            CallTrace.LOG.log(
+                    System.Logger.Level.WARNING,
+                    "connections_exhausted attempts_not_sent={0} calls_rejected={1}",
+                    attemptsWithoutConnection,
+                    callsRejected);
+            attemptsWithoutConnection = 0;
+        }
     }
 }
--- a/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
@@ -386,15 +386,8 @@
         eventLoop.at(eventLoop.now() + limits.call().sweepIntervalNanos(), this::sweep);
         pool.closeExpired();
         clients.sweep();
-        int attemptsWithoutConnection = attempts.getAndResetWithoutConnectionCount();
-        if (attemptsWithoutConnection + callsRejected > 0) {
-            LOG.log(
-                    System.Logger.Level.WARNING,
-                    "connections_exhausted attempts_not_sent={0} calls_rejected={1}",
-                    attemptsWithoutConnection,
-                    callsRejected);
-            callsRejected = 0;
-        }
+        attempts.logWithoutConnection(callsRejected);
+        callsRejected = 0;
         attempts.closeIdleToSilentUpstreams();
     }
 }
