A deduplicated call is not repeated where connections were lost since its first attempt

Cause: after an attempt that may have run, a further one may go to the same upstream on a new connection. If its process has ended, another one may listen there, of another group or without memory of keys.

Change: the pool records when an upstream last ended an established connection; a repeat that must be recognised is not sent there if that was after the first attempt, and counts as not sent, so that the policy chooses another upstream of the group. Counter refusals.may_be_replaced.

--- a/balancer/src/main/java/gorsestack/invariant/RejectionReason.java
+++ b/balancer/src/main/java/gorsestack/invariant/RejectionReason.java
@@ -15,5 +15,7 @@
     /** The call had no response at its deadline, so the backstop timer sent one. */
     LEFT_UNANSWERED,
     /** The upstream read the call's large body too slowly: its client may have sent all of it and no longer waits. */
-    BODY_HELD_BACK
+    BODY_HELD_BACK,
+    /** The upstream of a repeated attempt has ended connections since the first one, so another process may be at its address. */
+    MAY_BE_REPLACED
 }
--- a/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
+++ b/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
@@ -79,9 +79,25 @@
             eventLoop.execute(() -> attempt.ended(Outcome.NOT_SENT, null));
             return;
         }
+        if (repeat == Settings.Repeat.DEDUPLICATED && mayBeReplaced(call, upstream)) {
+            invariants.rejected(RejectionReason.MAY_BE_REPLACED);
+            eventLoop.execute(() -> attempt.ended(Outcome.NOT_SENT, null));
+            return;
+        }
         send(attempt, repeat != Settings.Repeat.NON_IDEMPOTENT);
     }
 
+    /**
+     * Returns whether another process may listen at the upstream's address since an attempt of the call that may have executed. It would not
+     * recognise the duplicate, or belong to another group; the endpoint list tells so seconds later.
+     */
+    private boolean mayBeReplaced(ActiveCall call, String upstream) {
+        return call.attempts.stream()
+                .limit(call.attempts.size() - 1L)
+                .filter(UpstreamAttempt::mayHaveExecuted)
+                .anyMatch(earlier -> pool.lostConnectionSince(upstream, earlier.startedAt()));
+    }
+
     private void send(UpstreamAttempt attempt, boolean safelyRepeatable) {
         UpstreamConnection connection = pool.take(attempt.upstream, safelyRepeatable);
         trace.log(
--- a/balancer/src/main/java/gorsestack/proxy/UpstreamConnectionPool.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamConnectionPool.java
@@ -55,6 +55,9 @@
     private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
 
     private final Map<String, Long> lastReceivedAt = new HashMap<>();
+    /** When a connection to each upstream was last ended by the upstream. */
+    private final Map<String, Long> lastLostAt = new HashMap<>();
+
     private int maxConnections;
     /** The time until which connections are reused only for safely repeatable requests. */
     private long reuseQuarantineUntil;
@@ -120,6 +123,7 @@
         noNewRequestsSince.putIfAbsent(upstream, eventLoop.now());
         draining.remove(upstream);
         lastReceivedAt.remove(upstream);
+        lastLostAt.remove(upstream);
         toBeClosed.add(upstream);
     }
 
@@ -270,6 +274,18 @@
         return lastReceivedAt.getOrDefault(upstream, Long.MIN_VALUE) >= time;
     }
 
+    @Override
+    public void connectionLost(String upstream) {
+        if (addresses.containsKey(upstream)) {
+            lastLostAt.put(upstream, eventLoop.now());
+        }
+    }
+
+    /** Returns whether the upstream has ended a connection at {@code time} or later. */
+    boolean lostConnectionSince(String upstream, long time) {
+        return lastLostAt.getOrDefault(upstream, Long.MIN_VALUE) >= time;
+    }
+
     @Override
     public BufferBudget bufferBudget() {
         return bufferBudget;
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -372,6 +372,9 @@
 
     @Override
     public void closed() {
+        if (!closed && channel != null) {
+            owner.connectionLost(upstream);
+        }
         if (!closed && attempt != null && reused && silent) {
             owner.reusedConnectionLost();
         }
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnectionOwner.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnectionOwner.java
@@ -25,4 +25,7 @@
 
     /** Returns the budget for the memory that all large bodies share. */
     BufferBudget bufferBudget();
+
+    /** Called when the peer has ended an established connection, so that the next process at its address may be another one. */
+    default void connectionLost(String upstream) {}
 }
