An upstream whose address another one has taken is no longer used

Cause: the policy and the pool know upstreams by name. While the old entry was still listed, calls for it, with its zone and group, went to the address where the new one listens.

Change: AddressOwners removes from the list, ahead of policy and pool, an upstream whose address another one in service has, that did not start before it, and keeps it out until it has another start or address or the other one has gone. That the old one drains or is listed again does not bring it back.

--- a/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
@@ -50,6 +50,7 @@
     private final DiscoveryWatch discovery;
     private final ProductTable products;
     private final CallTable calls = new CallTable();
+    private final AddressOwners addressOwners = new AddressOwners();
     private final CallTrace trace = new CallTrace();
     private final Invariants invariants = new Invariants();
     private final AttemptRunner attempts;
@@ -164,7 +165,8 @@
     // Endpoint updates and peers.
 
     @Override
-    public void watchEvent(WatchEvent event) {
+    public void watchEvent(WatchEvent listed) {
+        WatchEvent event = addressOwners.withoutDisplaced(listed);
         recovery.onWatchEvent(event);
         policy.onEndpointUpdate(
                 clock.tick(),
--- a/balancer/src/test/java/gorsestack/proxy/ReplacedUpstreamTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/ReplacedUpstreamTest.java
@@ -5,16 +5,22 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import gorsestack.decision.EndpointState;
 import gorsestack.decision.EndpointUpdate;
 import gorsestack.wire.WatchEvent;
 import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests that a new process at the address of one that has gone is not taken for the old one. */
 class ReplacedUpstreamTest {
+    private final AddressOwners owners = new AddressOwners();
+
     private static String entry(String name, int host, String status, long since) {
         return "{\"name\":\"" + name + "\",\"address\":\"127.0.1." + host + ":80\",\"zone\":\"b\",\"status\":\""
                 + status + "\",\"since_ms\":" + since + "}";
@@ -25,6 +31,13 @@
                 new ObjectMapper().readTree("{\"index\":50,\"endpoints\":[" + String.join(",", entries) + "]}"), kind);
     }
 
+    /** Applies an event; returns the upstreams that it adds or keeps, and those that it removes with a minus sign. */
+    private List<String> apply(EndpointUpdate.Kind kind, String... entries) throws IOException {
+        return owners.withoutDisplaced(event(kind, entries)).update().endpoints().stream()
+                .map(endpoint -> (endpoint.state() == EndpointState.GONE ? "-" : "") + endpoint.id())
+                .toList();
+    }
+
     /** Guards against calls for an upstream that has gone, but is still listed, which reach another one at its address. */
     @ParameterizedTest
     @CsvSource({"0, DELTA", "1000, DELTA", "0, SNAPSHOT", "1000, SNAPSHOT"})
@@ -52,4 +65,54 @@
         expectResponse(429, client);
         assertEquals(connections, rig.upstreamConnections().size(), "nothing is sent for the old one");
     }
+
+    @Test
+    void removesTheUpstreamThatWasReplaced() throws IOException {
+        assertEquals(
+                List.of("a", "b"),
+                apply(EndpointUpdate.Kind.SNAPSHOT, entry("a", 1, "in_service", 0), entry("b", 2, "in_service", 0)));
+        assertEquals(List.of("-a", "c"), apply(EndpointUpdate.Kind.DELTA, entry("c", 1, "in_service", 9)));
+        assertEquals(List.of(), apply(EndpointUpdate.Kind.DELTA, entry("a", 1, "terminating", 0)));
+        assertEquals(
+                List.of("c", "b"),
+                apply(
+                        EndpointUpdate.Kind.SNAPSHOT,
+                        entry("a", 1, "in_service", 0),
+                        entry("c", 1, "in_service", 9),
+                        entry("b", 2, "in_service", 0)));
+        assertEquals(List.of("-a"), apply(EndpointUpdate.Kind.DELTA, entry("a", 1, "terminated", 0)));
+    }
+
+    /** Prevents an upstream from being kept out that has moved, or has its address back. */
+    @Test
+    void keepsUpstreamsWithAddressesOfTheirOwn() throws IOException {
+        apply(EndpointUpdate.Kind.SNAPSHOT, entry("a", 1, "in_service", 0), entry("b", 2, "in_service", 0));
+        assertEquals(
+                List.of("a", "b"),
+                apply(EndpointUpdate.Kind.DELTA, entry("a", 3, "in_service", 0), entry("b", 1, "in_service", 0)),
+                "a has moved before b takes its address");
+        assertEquals(List.of("-b", "c"), apply(EndpointUpdate.Kind.DELTA, entry("c", 1, "in_service", 0)));
+        assertEquals(List.of("b"), apply(EndpointUpdate.Kind.DELTA, entry("b", 5, "in_service", 0)));
+        assertEquals(List.of("-c"), apply(EndpointUpdate.Kind.DELTA, entry("c", 1, "terminated", 0)));
+        assertEquals(List.of("b"), apply(EndpointUpdate.Kind.DELTA, entry("b", 1, "in_service", 0)));
+        assertEquals(
+                List.of("-d"),
+                apply(EndpointUpdate.Kind.DELTA, entry("d", 1, "terminating", 0)),
+                "one that drains is old");
+    }
+
+    /** Guards against a deduplicated call that is repeated at a process that does not know that it may have run. */
+    @Test
+    void repeatsADeduplicatedCallNotWhereTheConnectionWasLost() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        FakeSocket client = rig.client();
+        client.send(request("mark", "c1"));
+        FakeSocket lost = rig.lastUsed();
+        assertTrue(lost.output.contains("c1"));
+        lost.queueDisconnect();
+        rig.runPending();
+        rig.advance(2_000);
+        assertEquals(1, rig.upstreamConnections().size(), "the address may be that of another process by now");
+        assertTrue(client.output.startsWith("HTTP/1.1 50"), client.output);
+    }
 }
