--- a/balancer/src/test/java/gorsestack/proxy/HeldBackUploadTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/HeldBackUploadTest.java
@@ -118,4 +118,29 @@
         rig.lastUsed().sendOk("done");
         expectResponse(200, slow);
     }
+
+    /** Guards against attempts for a client that has left, as its close lies behind what is not read of its upload. */
+    @ParameterizedTest
+    @MethodSource("uploads")
+    void beginsNoAttemptWhileItCannotBeSeenWhetherTheClientIsThere(String product, boolean chunked, int bytes)
+            throws IOException {
+        for (boolean connects : new boolean[] {true, false}) {
+            DispatcherRig rig = DispatcherRig.withUpstreams(3);
+            rig.connectsAtOnce = false;
+            FakeSocket client = rig.client();
+            client.send(head(product, chunked, bytes));
+            int sent = sendUntilHeldBack(client, chunked, bytes);
+            if (sent == bytes) {
+                return; // All of it was read ahead, so that the end of the client's stream would be seen.
+            }
+            rig.advance(110);
+            if (connects) {
+                rig.upstreamConnections().get(0).connect();
+            }
+            rig.advance(200);
+            assertTrue(client.output.startsWith("HTTP/1.1 429 "), client.output);
+            assertEquals(1, rig.upstreamConnections().size());
+            assertEquals("", rig.upstreamConnections().get(0).output);
+        }
+    }
 }
