No attempt begins for an upload whose client's close would not be seen

Cause: the end of the stream is seen behind the unread bytes only. Of an upload without a target 1 MiB is read ahead; past that reading is suspended, and the first attempt on a slow connect, or the next one, began though its client had left.

Change: once reading has been suspended for 70 ms no attempt begins, and none that waits for its connection is written; it counts as not sent, so that the call is answered 429 and its client may send it again. Counter refusals.client_unseen.

--- a/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
+++ b/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
@@ -79,8 +79,13 @@
             eventLoop.execute(() -> attempt.ended(Outcome.NOT_SENT, null));
             return;
         }
-        if (repeat == Settings.Repeat.DEDUPLICATED && mayBeReplaced(call, upstream)) {
-            invariants.rejected(RejectionReason.MAY_BE_REPLACED);
+        RejectionReason rejection = attempt.clientUnseen()
+                ? RejectionReason.CLIENT_UNSEEN
+                : repeat == Settings.Repeat.DEDUPLICATED && mayBeReplaced(call, upstream)
+                        ? RejectionReason.MAY_BE_REPLACED
+                        : null;
+        if (rejection != null) {
+            invariants.rejected(rejection);
             eventLoop.execute(() -> attempt.ended(Outcome.NOT_SENT, null));
             return;
         }
--- a/balancer/src/main/java/gorsestack/proxy/SendGate.java
+++ b/balancer/src/main/java/gorsestack/proxy/SendGate.java
@@ -18,6 +18,12 @@
         FINISHED
     }
 
+    /**
+     * The longest time for which a client whose connection is not read is taken to be there. An attempt must not begin 0.1 s after its
+     * client has disconnected.
+     */
+    private static final long UNSEEN_NANOS = 70_000_000;
+
     final ActiveCall call;
     final EventLoop clock;
     private volatile State state = State.CONNECTING;
@@ -38,10 +44,17 @@
         return state != State.FINISHED
                 && !call.hasEnded()
                 && call.client.mayBeConnected()
+                && !clientUnseen()
                 && now < deadline
                 && now < sendBy;
     }
 
+    /** Returns whether the client may have disconnected without this being seen, as its large upload is not read on. */
+    final boolean clientUnseen() {
+        long unseenSince = call.client.unseenSince();
+        return unseenSince != Long.MAX_VALUE && clock.now() - unseenSince > UNSEEN_NANOS;
+    }
+
     final State state() {
         return state;
     }
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -313,6 +313,11 @@
         return !closed && channel.open();
     }
 
+    /** Returns since when a disconnect would not be seen, as nothing is read; Long.MAX_VALUE if it would. May be called on any thread. */
+    public long unseenSince() {
+        return reader.suspendedSince();
+    }
+
     /** Returns the number of this connection among the process's client connections, in the order of opening; for the log. */
     public long number() {
         return number;
@@ -369,13 +374,9 @@
     }
 
     private CloseReason effectiveCloseReason() {
-        if (closeReason != null) {
-            return closeReason;
-        }
-        if (state != State.CLOSING_IF_IDLE) {
-            return CloseReason.CLIENT_GONE;
-        }
-        return hasRequested ? CloseReason.IDLE : CloseReason.NEVER_ASKED;
+        CloseReason ifIdle = hasRequested ? CloseReason.IDLE : CloseReason.NEVER_ASKED;
+        CloseReason ofPeer = state == State.CLOSING_IF_IDLE ? ifIdle : CloseReason.CLIENT_GONE;
+        return closeReason != null ? closeReason : ofPeer;
     }
 
     @Override
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -42,6 +42,9 @@
     private boolean parseScheduled;
 
     private boolean readingSuspended;
+    /** Time since which nothing is read, so that the end of the client's stream is not seen; also read by the sockets' thread. */
+    private volatile long suspendedSince = Long.MAX_VALUE;
+
     /** Bytes of the request being read, or of the open one, that are counted in the budget. */
     private int countedBytes;
 
@@ -122,6 +125,10 @@
         return uploadPaused;
     }
 
+    long suspendedSince() {
+        return suspendedSince;
+    }
+
     /** Returns whether the next request must not begin yet, as the client does not read the responses to earlier ones. */
     private boolean mustWaitForClient() {
         waitsForClient = !parser.begun() && responses.congested();
@@ -165,6 +172,7 @@
         readAhead.addLast(bytes, readAt);
         if (uploading() && !readingSuspended && !mayReadAhead()) {
             readingSuspended = true;
+            suspendedSince = eventLoop.now();
             channel.suspendReading(true);
         } else if (!uploading()
                 && (readAhead.totalBytes() > limits.buffer().bodyBytes()
@@ -186,6 +194,7 @@
 
     private void resumeReading() {
         readingSuspended = false;
+        suspendedSince = Long.MAX_VALUE;
         channel.suspendReading(false);
     }
 
