The receive buffer of a client's connection has a fixed size

Cause: BodyArrival assumes that the systems hold at most 8 MiB of an upload that is not read. The receive buffer grows by itself, to 32 MB where the system allows it, so that an upload of 8 to 36 MB could have been sent whole while the balancer took it for incomplete. Found by reading; not shown in a trial.

Change: 1 MiB, as set before a connection is read; Linux doubles it.

--- a/balancer/src/main/java/gorsestack/settings/BufferLimits.java
+++ b/balancer/src/main/java/gorsestack/settings/BufferLimits.java
@@ -26,6 +26,8 @@
  * @param totalReadAheadBytes the same for all connections together: a tenth of the heap
  * @param sendBufferBytes the system's send buffer of a connection. The system takes more only once a third of it is free, so that
  *     with a larger one a slow reader would seem to have stopped.
+ * @param receiveBufferBytes the system's receive buffer of a client's connection: bounds what the client may have sent without this side
+ *     reading it
  * @param discardBytes the bytes that are read and dropped while waiting for the other side to close; some milliseconds of reading
  * @param discoveryLineBytes the longest line that is accepted from discovery
  */
@@ -45,6 +47,7 @@
         int readAheadBytes,
         long totalReadAheadBytes,
         int sendBufferBytes,
+        int receiveBufferBytes,
         int discardBytes,
         int discoveryLineBytes) {
 
@@ -68,6 +71,7 @@
         int readAheadBytes = 48 * KIB;
         long totalReadAheadBytes = 4L * MIB;
         int sendBufferBytes = 128 * KIB;
+        int receiveBufferBytes = MIB;
         int discardBytes = 8 * MIB;
         int discoveryLineBytes = 4 * MIB;
         return new BufferLimits(
@@ -86,6 +90,7 @@
                 readAheadBytes,
                 totalReadAheadBytes,
                 sendBufferBytes,
+                receiveBufferBytes,
                 discardBytes,
                 discoveryLineBytes);
     }
--- a/balancer/src/main/java/gorsestack/wire/BodyArrival.java
+++ b/balancer/src/main/java/gorsestack/wire/BodyArrival.java
@@ -11,7 +11,7 @@
     /** Result of {@link #mayBeCompleteSince} if the last byte cannot have been sent. */
     static final long INCOMPLETE = Long.MAX_VALUE;
 
-    /** The most that the systems on both sides hold of what was sent and not read: 4 MiB to send, 3 MiB received, and a reserve. */
+    /** The most that the systems on both sides hold of what was sent and not read: 4 MiB to send, 2 MiB received, and a reserve. */
     private static final long MAX_UNREAD_BYTES = 8L << 20;
     /** Time of reading without a pause after which nothing that was sent is unread. */
     private static final long SETTLE_NANOS = 100_000_000;
--- a/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
+++ b/balancer/src/main/java/gorsestack/wire/MinaNetwork.java
@@ -71,6 +71,7 @@
         created.setReuseAddress(true);
         created.setCloseOnDeactivation(false);
         configure(created.getSessionConfig());
+        created.getSessionConfig().setReceiveBufferSize(limits.buffer().receiveBufferBytes());
         return created;
     }
 
