A head of many short fields costs less processor time

Cause: a head was collected byte by byte, and each of a dozen look-ups scanned all of it.

Change: lines are collected whole; where the fields begin that are looked up in each message is recorded when the head is parsed. A field that occurs twice is looked up by a scan, as before.

Samples of the event loop at full load showed 26 of 40 within these scans.

--- a/balancer/src/main/java/gorsestack/wire/GrowableBuffer.java
+++ b/balancer/src/main/java/gorsestack/wire/GrowableBuffer.java
@@ -20,11 +20,6 @@
         expectedSize = expected;
     }
 
-    void append(byte next) {
-        ensureCapacity(size + 1);
-        bytes[size++] = next;
-    }
-
     void append(byte[] source, int offset, int length) {
         ensureCapacity(size + length);
         System.arraycopy(source, offset, bytes, size, length);
--- a/balancer/src/main/java/gorsestack/wire/HttpParser.java
+++ b/balancer/src/main/java/gorsestack/wire/HttpParser.java
@@ -197,25 +197,41 @@
                         state = state == State.FIXED_LENGTH ? State.DONE : State.CHUNK_END;
                     }
                 }
-                default -> lineByte(in[i++]);
+                default -> i = feedLine(in, i, end);
             }
         }
         return i;
     }
 
-    private void lineByte(byte next) throws MalformedMessageException {
-        line.append(next);
-        if (state == State.HEAD
-                && request
-                && ((next < ' ' && next != '\r' && next != '\n' && next != '\t') || next > '~')) {
-            throw new MalformedMessageException(400, "not the head of a request");
+    /** Collects bytes up to the end of the current line; returns the offset behind those that were used. */
+    private int feedLine(byte[] in, int begin, int end) throws MalformedMessageException {
+        int next = begin;
+        while (next < end && in[next] != '\n') {
+            next++;
         }
+        boolean complete = next < end;
+        next += complete ? 1 : 0;
+        int allowed = Math.min(next, begin + maxHeadBytes + 1 - line.size());
+        if (state == State.HEAD && request) {
+            checkCharacters(in, begin, allowed);
+        }
+        line.append(in, begin, allowed - begin);
         if (line.size() > maxHeadBytes) {
             throw new MalformedMessageException(431, "a head over " + maxHeadBytes + " bytes");
         }
-        if (next == '\n') {
+        if (complete) {
             lineComplete();
         }
+        return next;
+    }
+
+    private static void checkCharacters(byte[] in, int begin, int end) throws MalformedMessageException {
+        for (int i = begin; i < end; i++) {
+            byte next = in[i];
+            if ((next < ' ' && next != '\r' && next != '\n' && next != '\t') || next > '~') {
+                throw new MalformedMessageException(400, "not the head of a request");
+            }
+        }
     }
 
     private void lineComplete() throws MalformedMessageException {
--- a/balancer/src/main/java/gorsestack/wire/MessageHead.java
+++ b/balancer/src/main/java/gorsestack/wire/MessageHead.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 
@@ -22,6 +23,19 @@
             "content-length",
             "expect");
 
+    /** The fields that are looked up in each message; where they begin is recorded when the head is parsed. */
+    private static final List<String> KNOWN = List.of(
+            "host",
+            "expect",
+            "x-repeat",
+            "connection",
+            "x-time-left",
+            "x-unprocessed",
+            "content-length",
+            "idempotency-key",
+            "x-correlation-id",
+            "transfer-encoding");
+
     /** Characters that a field's name must not contain (RFC 9110, section 5.6.2). */
     private static final String SEPARATORS = "\"(),/:;<=>?@[\\]{}";
 
@@ -34,6 +48,10 @@
     private final byte[] bytes;
     /** Offset of the first header field. */
     private final int firstField;
+    /** Offset of the first line of each known field; 0 if it is absent. */
+    private final int[] knownLines = new int[KNOWN.size()];
+    /** Whether a known field occurs more than once. */
+    private boolean knownRepeated;
 
     /**
      * Parses a head.
@@ -52,7 +70,7 @@
         }
         for (int line = firstField; line < bytes.length; line = nextLine(line)) {
             checkLine(line, strict);
-            checkName(line);
+            recordKnown(line, checkName(line));
         }
         start = startLine;
     }
@@ -98,7 +116,18 @@
         }
     }
 
-    private void checkName(int line) throws MalformedMessageException {
+    private void recordKnown(int line, int nameLength) {
+        for (int i = 0; i < knownLines.length; i++) {
+            String name = KNOWN.get(i);
+            if (name.length() == nameLength && hasName(line, name)) {
+                knownRepeated |= knownLines[i] > 0;
+                knownLines[i] = knownLines[i] > 0 ? knownLines[i] : line;
+            }
+        }
+    }
+
+    /** Checks the name of the field in this line and returns its length. */
+    private int checkName(int line) throws MalformedMessageException {
         int position = line;
         while (bytes[position] > ' ' && bytes[position] <= '~' && SEPARATORS.indexOf(bytes[position]) < 0) {
             position++;
@@ -106,6 +135,7 @@
         if (position == line || bytes[position] != ':') {
             throw new MalformedMessageException(400, "a header line has no proper name");
         }
+        return position - line;
     }
 
     private boolean printable(int begin, int end) {
@@ -148,6 +178,14 @@
 
     /** Returns the field's value, or null if it is absent. The values of a repeated field are joined by commas, as in RFC 9110. */
     public String field(String name) {
+        int known = KNOWN.indexOf(name);
+        if (known >= 0 && !knownRepeated) {
+            return knownLines[known] > 0 ? value(knownLines[known]) : null;
+        }
+        return joinedField(name);
+    }
+
+    private String joinedField(String name) {
         StringBuilder joined = null;
         String found = null;
         for (int line = firstField; line < bytes.length; line = nextLine(line)) {
@@ -166,6 +204,9 @@
 
     /** Returns whether the field occurs more than once. */
     boolean isRepeated(String name) {
+        if (KNOWN.contains(name) && !knownRepeated) {
+            return false;
+        }
         int count = 0;
         for (int line = firstField; line < bytes.length; line = nextLine(line)) {
             count += hasName(line, name) ? 1 : 0;
