The status document tells what memory is in use

Change: memory.requests, .readAhead, .incompleteResponses and .responses in the status document, in bytes.

--- a/balancer/src/main/java/gorsestack/proxy/BalancerStatus.java
+++ b/balancer/src/main/java/gorsestack/proxy/BalancerStatus.java
@@ -36,6 +36,7 @@
         status.put("callsHeld", calls.awaitingResponse());
         status.put("clientConnections", clients.size());
         ignoredSignals.forEach(status.putArray("ignoredSignals")::add);
+        clients.bufferBudget().report(status.putObject("memory")::put);
         ObjectNode counters = status.putObject("invariants");
         invariants.report(counters::put);
         recovery.status(status);
--- a/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
+++ b/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
@@ -50,6 +50,10 @@
         maxConnections = limits.client().maxConnections();
     }
 
+    BufferBudget bufferBudget() {
+        return bufferBudget;
+    }
+
     int size() {
         return open.size();
     }
--- a/balancer/src/main/java/gorsestack/wire/BufferBudget.java
+++ b/balancer/src/main/java/gorsestack/wire/BufferBudget.java
@@ -1,6 +1,7 @@
 package gorsestack.wire;
 
 import gorsestack.settings.Limits;
+import java.util.function.ObjLongConsumer;
 
 /**
  * Bounds the memory of all messages in flight: how much of each large body may wait to be sent, how much may be read before there is a
@@ -124,6 +125,14 @@
         return incompleteResponseBytes > limits.buffer().totalIncompleteResponseBytes();
     }
 
+    /** Reports the bytes that are in use, by what they hold. The names are keys of the status document. */
+    public void report(ObjLongConsumer<String> sink) {
+        sink.accept("requests", requestBytes);
+        sink.accept("readAhead", readAheadBytes);
+        sink.accept("incompleteResponses", incompleteResponseBytes);
+        sink.accept("responses", responseBytes);
+    }
+
     /** Returns the number of requests refused for lack of memory since the last call. */
     public int getAndResetRefused() {
         int count = refusedRequests;
