--- a/review/stand-ins-2/RefusedAfterRun.java
+++ b/review/stand-ins-2/RefusedAfterRun.java
@@ -124,7 +124,7 @@
             }
         }
         boolean alive = balancer.alive();
-        balancer.signal("KILL");
+        balancer.kill();
         rig.say("subjects answered=" + answered + " ran=" + RUNS.size() + " refused_after_run=" + refusedAfterRun);
         if (!alive || answered.get() < SUBJECTS || (!rig.trouble && RUNS.size() < SUBJECTS)) {
             return Rig.COULD_NOT_RUN;
--- a/review/stand-ins-2/Rig.java
+++ b/review/stand-ins-2/Rig.java
@@ -197,8 +197,9 @@
             }
         }
 
-        void signal(String name) throws Exception {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
+        /** Ends the process as SIGKILL does. */
+        void kill() throws InterruptedException {
+            process.destroyForcibly().waitFor();
         }
 
         String log() throws IOException {
