--- a/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
+++ b/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
@@ -37,6 +37,8 @@
     private Runnable onAllClosed;
     /** Number of connections closed since the last sweep because their clients do not read while responses occupy too much memory. */
     private int closedStalledReaders;
+    /** Number of these whose clients may have been reading slowly. */
+    private int closedPossibleReaders;
 
     private boolean closingOfStalledReadersScheduled;
 
@@ -142,17 +144,21 @@
     }
 
     /**
-     * Closes connections whose clients do not read, first those that have read nothing for longest, until the responses that wait to be
-     * sent occupy no more memory than they may. Without this, some hundred clients that send calls and read nothing would use up the heap.
+     * Closes connections whose clients do not read, first those that are overdue for longest by the speed of the slowest reader, until the
+     * responses that wait to be sent occupy no more memory than they may. Without this, some hundred clients that send calls and read nothing
+     * would use up the heap.
      */
     private void closeStalledReaders() {
         closingOfStalledReadersScheduled = false;
         while (bufferBudget.responsesExceedLimit()) {
-            ClientConnection stalled = longestStalled(ClientConnection::responseStalledSince);
+            ClientConnection stalled = longestStalled(ClientConnection::responseExpectedBy);
             if (stalled == null) {
                 return;
             }
             closedStalledReaders++;
+            if (stalled.responseExpectedBy() > eventLoop.now()) {
+                closedPossibleReaders++;
+            }
             stalled.drop(CloseReason.STALLED);
         }
     }
@@ -169,9 +175,11 @@
         if (closedStalledReaders > 0) {
             LOG.log(
                     System.Logger.Level.WARNING,
-                    "response_memory_exhausted connections_closed={0}",
-                    closedStalledReaders);
+                    "response_memory_exhausted connections_closed={0} maybe_reading={1}",
+                    closedStalledReaders,
+                    closedPossibleReaders);
             closedStalledReaders = 0;
+            closedPossibleReaders = 0;
         }
     }
 
--- a/balancer/src/main/java/gorsestack/wire/BodyRelay.java
+++ b/balancer/src/main/java/gorsestack/wire/BodyRelay.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.function.IntSupplier;
 
 /**
  * Streams a body that is too large to be buffered from the connection that receives it to the one that sends it on: a request from a client
@@ -47,6 +48,9 @@
     final long length;
 
     private final BufferBudget budget;
+    /** Returns how many bytes may wait at the target before the source is paused. */
+    private final IntSupplier limit;
+
     private final Source source;
     /** The part of the body that was received before the relay began; null once more has been passed on. */
     private byte[] prefix;
@@ -56,14 +60,25 @@
     private boolean complete;
     private boolean ended;
 
-    BodyRelay(long length, byte[] prefix, BufferBudget budget, Source source) {
+    private BodyRelay(long length, byte[] prefix, BufferBudget budget, IntSupplier limit, Source source) {
         this.length = length;
         this.prefix = prefix;
         this.budget = budget;
+        this.limit = limit;
         this.source = source;
         budget.relayStarted();
     }
 
+    /** Creates the relay of a request's body, of which {@code prefix} has been received. */
+    static BodyRelay ofRequest(long length, byte[] prefix, BufferBudget budget, Source source) {
+        return new BodyRelay(length, prefix, budget, budget::relayLimit, source);
+    }
+
+    /** Creates the relay of a response's body, of which {@code prefix} has been received. */
+    static BodyRelay ofResponse(long length, byte[] prefix, BufferBudget budget, Source source) {
+        return new BodyRelay(length, prefix, budget, budget::responseRelayLimit, source);
+    }
+
     /** Returns the header line that frames the body on its way to the target. */
     String framingHeader() {
         return length >= 0 ? "Content-Length: " + length + "\r\n" : "Transfer-Encoding: chunked\r\n";
@@ -154,7 +169,7 @@
             source.bodyNotReplayable();
         }
         write(bytes);
-        if (target.unsent() > budget.relayLimit()) {
+        if (target.unsent() > limit.getAsInt()) {
             pauseSource(true);
         }
     }
@@ -170,7 +185,7 @@
 
     /** Records that a write to the target has been sent, and resumes the source once no more than half of the limit is unsent. */
     void targetSent() {
-        if (!ended && target != null && target.unsent() <= budget.relayLimit() / 2) {
+        if (!ended && target != null && target.unsent() <= limit.getAsInt() / 2) {
             pauseSource(false);
         }
     }
--- a/balancer/src/main/java/gorsestack/wire/BufferBudget.java
+++ b/balancer/src/main/java/gorsestack/wire/BufferBudget.java
@@ -11,6 +11,8 @@
 public final class BufferBudget {
     /** Bytes that one body may always have waiting, however many bodies there are: a smaller buffer would stall each write. */
     private static final int MIN_RELAY_BYTES = 4 << 10;
+    /** The part of the memory for responses past which new ones are taken only as fast as their clients read. */
+    private static final int SCARCE_RESPONSES_DIVISOR = 4;
 
     private final Limits limits;
     private int openRelays;
@@ -45,10 +47,11 @@
 
     /**
      * Reserves a place for one more large response that is buffered until it is complete; returns false if there is none. As long as no
-     * part of a response has been passed on, the call can still be retried at another upstream.
+     * part of a response has been passed on, the call can still be retried at another upstream. There is none while the clients leave much
+     * unread: a response that is complete can no longer be taken as slowly as its client reads.
      */
     boolean reserveBufferedResponse() {
-        if (bufferedResponses >= limits.buffer().maxBufferedResponses()) {
+        if (bufferedResponses >= limits.buffer().maxBufferedResponses() || responsesScarce()) {
             return false;
         }
         bufferedResponses++;
@@ -110,6 +113,19 @@
         }
     }
 
+    /**
+     * Returns whether the responses that wait to be sent occupy so much memory that each upstream is read only as fast as its client reads.
+     * Without this, clients that read slowly would together exceed the limit, past which connections are closed.
+     */
+    boolean responsesScarce() {
+        return responseBytes > limits.buffer().totalResponseBytes() / SCARCE_RESPONSES_DIVISOR;
+    }
+
+    /** Returns how many bytes of one response that is relayed may wait to be sent to its client. */
+    int responseRelayLimit() {
+        return responsesScarce() ? MIN_RELAY_BYTES : relayLimit();
+    }
+
     /** Returns whether the responses that wait to be sent to clients occupy more memory than they may. */
     public boolean responsesExceedLimit() {
         return responseBytes > limits.buffer().totalResponseBytes();
--- a/balancer/src/main/java/gorsestack/wire/Channel.java
+++ b/balancer/src/main/java/gorsestack/wire/Channel.java
@@ -73,4 +73,10 @@
 
     /** Suspends reading, or resumes it. */
     void suspendReading(boolean suspended);
+
+    /**
+     * Reads nothing more, from now on, before the handler has received the last read. Without this, some reads are queued by the time at
+     * which the handler suspends reading.
+     */
+    default void readOneAtATime() {}
 }
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -338,9 +338,9 @@
         return reader.uploadMayBeCompleteSince();
     }
 
-    /** Returns since when the client has read nothing of responses that wait to be sent; Long.MAX_VALUE if there are none. */
-    public long responseStalledSince() {
-        return closed ? Long.MAX_VALUE : writer.stalledSince();
+    /** Returns the time by which a client that reads has taken some of the responses that wait; Long.MAX_VALUE if there are none. */
+    public long responseExpectedBy() {
+        return closed ? Long.MAX_VALUE : writer.expectedBy();
     }
 
     /** Closes the connection between calls, unless a request has begun; the socket decides, as one may be read just now. */
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -261,7 +261,7 @@
     }
 
     private void beginUpload() {
-        upload = new BodyRelay(parser.contentLength(), parser.body(), handler.bufferBudget(), this);
+        upload = BodyRelay.ofRequest(parser.contentLength(), parser.body(), handler.bufferBudget(), this);
         uploadArrival = new BodyArrival(parser.contentLength());
         parser.streamTo(upload::relay);
         upload.awaitTarget();
--- a/balancer/src/main/java/gorsestack/wire/ClientResponseWriter.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientResponseWriter.java
@@ -1,12 +1,19 @@
 package gorsestack.wire;
 
 import gorsestack.settings.Limits;
+import java.util.Arrays;
 
 /**
  * The writing side of a client's connection: counts the responses that wait to be sent in the {@link BufferBudget}, and detects a client
  * that has stopped reading them. Used by {@link ClientConnection} on the event loop's thread only.
  */
 final class ClientResponseWriter {
+    /**
+     * The largest write. The network holds the array of a write until the system has taken its last byte, so that a long response would
+     * occupy all of its memory until its end.
+     */
+    private static final int MAX_WRITE_BYTES = 16 << 10;
+
     private final Limits limits;
     private final EventLoop eventLoop;
     private final BufferBudget budget;
@@ -31,10 +38,20 @@
     /** Queues bytes to be sent. If too many wait in all, this connection or others are closed a moment later. */
     void write(byte[] bytes) {
         progress.beforeWrite();
-        channel.write(bytes);
+        if (bytes.length <= MAX_WRITE_BYTES) {
+            channel.write(bytes);
+        } else {
+            writeInParts(bytes);
+        }
         countUnsent();
     }
 
+    private void writeInParts(byte[] bytes) {
+        for (int begin = 0; begin < bytes.length; begin += MAX_WRITE_BYTES) {
+            channel.write(Arrays.copyOfRange(bytes, begin, Math.min(bytes.length, begin + MAX_WRITE_BYTES)));
+        }
+    }
+
     /** Records that a write has been sent. */
     void sent() {
         progress.update();
@@ -47,7 +64,8 @@
 
     /** Returns whether so many bytes wait that no further request is begun: otherwise a client that reads nothing fills the heap. */
     boolean congested() {
-        return channel.unsent() > limits.buffer().relayBytes();
+        return channel.unsent()
+                > (budget.responsesScarce() ? 0 : limits.buffer().relayBytes());
     }
 
     /** Returns whether the client has stopped reading. */
@@ -55,9 +73,9 @@
         return !closed && progress.stalled();
     }
 
-    /** Returns since when the system has taken none of the bytes that wait; Long.MAX_VALUE if none wait. */
-    long stalledSince() {
-        return closed ? Long.MAX_VALUE : progress.stalledSince();
+    /** Returns the time by which a client that reads has taken some of the bytes that wait; Long.MAX_VALUE if none wait. */
+    long expectedBy() {
+        return closed ? Long.MAX_VALUE : progress.expectedBy();
     }
 
     private void countUnsent() {
--- a/balancer/src/main/java/gorsestack/wire/ResponseSource.java
+++ b/balancer/src/main/java/gorsestack/wire/ResponseSource.java
@@ -18,6 +18,9 @@
     @Override
     public void pauseBody(boolean paused) {
         stallDetector.pause(paused);
+        if (paused) {
+            channel.readOneAtATime(); // The client is slow: what is read beyond the limit would wait for it, too.
+        }
         channel.suspendReading(paused);
     }
 
--- a/balancer/src/main/java/gorsestack/wire/SendProgress.java
+++ b/balancer/src/main/java/gorsestack/wire/SendProgress.java
@@ -53,10 +53,13 @@
         }
     }
 
-    /** Returns since when the system has taken none of the bytes that wait; Long.MAX_VALUE if none wait. */
-    long stalledSince() {
+    /**
+     * Returns the time by which the slowest reader has read so much that the system takes some of the bytes that wait; Long.MAX_VALUE if
+     * none wait. A peer of which the system has taken nothing by then is not reading.
+     */
+    long expectedBy() {
         update();
-        return channel.unsent() > 0 ? progressedAt : Long.MAX_VALUE;
+        return channel.unsent() > 0 ? Math.max(progressedAt, readBy) : Long.MAX_VALUE;
     }
 
     /** Returns the time at which the peer has stopped if the system takes nothing until then. */
--- a/balancer/src/main/java/gorsestack/wire/SessionChannel.java
+++ b/balancer/src/main/java/gorsestack/wire/SessionChannel.java
@@ -29,9 +29,12 @@
     private final NioSession session;
     private final ConnectionHandler handler;
     private volatile WriteFuture lastWrite;
-    /** Bytes that were read and that the event loop has not handled yet; guarded by this object, as are the next two fields. */
+    /** Bytes that were read and that the event loop has not handled yet; guarded by this object, as are the next three fields. */
     private int queuedBytes;
 
+    /** Number of bytes that may be queued before reading is suspended. */
+    private int readAheadBytes;
+
     private boolean pausedByHandler;
     private boolean readSuspended;
     /** Number of reads so far; written by the processor's thread only. */
@@ -59,6 +62,7 @@
         this.shared = shared;
         this.session = session;
         this.handler = handler;
+        readAheadBytes = shared.limits().buffer().readAheadBytes();
     }
 
     @Override
@@ -252,6 +256,11 @@
         updateReading();
     }
 
+    @Override
+    public synchronized void readOneAtATime() {
+        readAheadBytes = 0;
+    }
+
     /** Counts bytes that were read or, with a negative number, handled. */
     synchronized void addQueued(int change) {
         queuedBytes += change;
@@ -261,12 +270,9 @@
 
     private void updateReading() {
         // Once the limit for all connections is exceeded, each may still have one read queued.
-        Limits limits = shared.limits();
-        boolean suspend = pausedByHandler
-                || queuedBytes
-                        > (shared.queuedBytes().get() > limits.buffer().totalReadAheadBytes()
-                                ? 0
-                                : limits.buffer().readAheadBytes());
+        boolean allExceedLimit =
+                shared.queuedBytes().get() > shared.limits().buffer().totalReadAheadBytes();
+        boolean suspend = pausedByHandler || queuedBytes > (allExceedLimit ? 0 : readAheadBytes);
         if (suspend != readSuspended) {
             readSuspended = suspend;
             if (suspend) {
--- a/balancer/src/main/java/gorsestack/wire/SessionEvents.java
+++ b/balancer/src/main/java/gorsestack/wire/SessionEvents.java
@@ -113,19 +113,27 @@
             Iterator<Read> remaining = begin().iterator();
             try {
                 while (remaining.hasNext()) {
-                    Read read = remaining.next();
-                    handler.received(uncount(read), read.readAt);
+                    receive(remaining.next());
                 }
             } finally {
                 remaining.forEachRemaining(this::uncount); // If the handler has failed, nobody else does.
             }
         }
 
-        private byte[] uncount(Read read) {
+        /** Hands on a read, and counts its bytes until then: the handler may suspend reading before the next read. */
+        private void receive(Read read) {
             byte[] bytes = read.bytes();
-            channel.addQueued(-bytes.length);
             channel.countHandled(read.count);
-            return bytes;
+            try {
+                handler.received(bytes, read.readAt);
+            } finally {
+                channel.addQueued(-bytes.length);
+            }
+        }
+
+        private void uncount(Read read) {
+            channel.countHandled(read.count);
+            channel.addQueued(-read.bytes().length);
         }
     }
 
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -255,7 +255,7 @@
         }
         buffering.release();
         BodyRelay.Source source = new ResponseSource(channel, stallDetector, this::close);
-        BodyRelay relay = new BodyRelay(parser.contentLength(), parser.body(), owner.bufferBudget(), source);
+        BodyRelay relay = BodyRelay.ofResponse(parser.contentLength(), parser.body(), owner.bufferBudget(), source);
         parser.streamTo(relay::relay);
         AttemptListener fulfilled = attempt;
         attempt = null;
--- a/balancer/src/test/java/gorsestack/proxy/FakeSocket.java
+++ b/balancer/src/test/java/gorsestack/proxy/FakeSocket.java
@@ -4,6 +4,7 @@
 import gorsestack.wire.FakeChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 
 /** The balancer's end of a connection, with the test acting as the other end. */
 final class FakeSocket extends FakeChannel {
@@ -26,7 +27,15 @@
     /** Whether the peer reads nothing by itself: what is written waits until {@link #readByPeer}. */
     boolean peerStopped;
 
+    /** The bytes that the system holds for a peer that reads nothing by itself; with 0 it takes just what the peer reads. */
+    int systemBufferBytes;
+
     private long sentBytes;
+    private long writtenBytes;
+    /** The bytes that the system has taken and the peer has not read. */
+    private long unreadBytes;
+    /** For each write that is not sent to its end, the number of bytes written up to its end. */
+    private final ArrayDeque<Long> writeEnds = new ArrayDeque<>();
 
     FakeSocket(DispatcherRig rig, ConnectionHandler handler, InetSocketAddress remoteAddress) {
         super(rig.eventLoop, handler, false);
@@ -41,6 +50,9 @@
             rig.recordUse(this);
             if (peerStopped) {
                 unsentBytes += bytes.length;
+                writtenBytes += bytes.length;
+                writeEnds.add(writtenBytes);
+                takeIntoSystemBuffer();
             } else if (!stalled) {
                 eventLoop.execute(handler::sent);
             }
@@ -59,15 +71,39 @@
 
     /** Has the system take this many of the bytes that wait, as the peer has read as many. */
     void readByPeer(long bytes) {
-        long taken = Math.min(bytes, unsentBytes);
+        if (systemBufferBytes == 0) {
+            take(Math.min(bytes, unsentBytes));
+        } else {
+            unreadBytes -= Math.min(bytes, unreadBytes);
+            takeIntoSystemBuffer();
+        }
+        rig.runPending();
+    }
+
+    /** Has the system take what it has room for, if a third of its buffer is free, as Linux does. */
+    private void takeIntoSystemBuffer() {
+        long room = systemBufferBytes - unreadBytes;
+        if (systemBufferBytes > 0 && room >= systemBufferBytes / 3) {
+            long taken = Math.min(room, unsentBytes);
+            unreadBytes += taken;
+            take(taken);
+        }
+    }
+
+    private void take(long taken) {
         unsentBytes -= taken;
         sentBytes += taken;
-        if (unsentBytes == 0) {
+        while (!writeEnds.isEmpty() && writeEnds.peek() <= sentBytes) {
+            writeEnds.remove();
             eventLoop.execute(handler::sent);
-            rig.runPending();
         }
     }
 
+    /** Returns how many bytes the peer can read at once. */
+    long unread() {
+        return unreadBytes;
+    }
+
     @Override
     public void close() {
         queueDisconnect();
--- a/balancer/src/test/java/gorsestack/proxy/SlowReaderTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/SlowReaderTest.java
@@ -3,10 +3,13 @@
 import static gorsestack.proxy.HttpMessages.request;
 import static gorsestack.proxy.SocketStreams.send;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.util.HashMap;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -22,7 +25,12 @@
     /** The time between two looks at the connection: just under the time after which a client has stopped. */
     private static final int STEP_MILLIS = 4_700;
 
-    private static final int READ_BYTES = 16_000;
+    /** The largest response that is buffered until it is complete. */
+    private static final int WHOLE_BODY_BYTES = 256 << 10;
+
+    private static final int HEAD_BYTES = 100;
+    private static final int SMALL_RECEIVE_BUFFER_BYTES = 4 << 10;
+    private static final int READ_BYTES = 16 << 10;
     /** The time without progress after which all buffers are full. */
     private static final int SETTLE_MILLIS = 20;
 
@@ -44,14 +52,40 @@
         }
     }
 
+    /** Guards against a response that occupies all of its memory until the system has taken its last byte. */
+    @Test
+    void freesTheMemoryOfWhatTheSystemHasTaken() throws Exception {
+        try (SocketRig rig = new SocketRig(1)) {
+            Socket slow = new Socket();
+            slow.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+            Socket client = rig.connectClient(slow);
+            HandlerSpy spy = rig.lastClientSpy();
+            send(client, request("read", "slow"));
+            sendResponse(rig.acceptRequest(0), WHOLE_BODY_BYTES);
+            settle(rig, spy);
+            read(rig, client.getInputStream(), WHOLE_BODY_BYTES / 4);
+            settle(rig, spy);
+            long sent = spy.channel.sentBytes();
+            assertTrue(sent > WHOLE_BODY_BYTES / 4, sent + " bytes are taken");
+            Map<String, Long> inUse = new HashMap<>();
+            rig.dispatcher.bufferBudget().report(inUse::put);
+            long held = inUse.get("responses");
+            long wait = WHOLE_BODY_BYTES + HEAD_BYTES - sent;
+            assertTrue(held <= wait + READ_BYTES, held + " bytes are held of " + wait + " that wait");
+        }
+    }
+
     private static void sendResponse(Socket upstream) {
+        sendResponse(upstream, BODY_BYTES);
+    }
+
+    private static void sendResponse(Socket upstream, int bodyBytes) {
         Thread sender = new Thread(
                 () -> {
                     try {
                         send(
                                 upstream,
-                                "HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n"
-                                        + "y".repeat(BODY_BYTES));
+                                "HTTP/1.1 200 OK\r\nContent-Length: " + bodyBytes + "\r\n\r\n" + "y".repeat(bodyBytes));
                     } catch (IOException e) {
                         // The balancer has closed the connection; the test fails on the client's side.
                     }
--- a/balancer/src/test/java/gorsestack/proxy/SocketRig.java
+++ b/balancer/src/test/java/gorsestack/proxy/SocketRig.java
@@ -195,8 +195,13 @@
 
     /** Connects a client and runs until the balancer has opened its connection. */
     Socket connectClient() throws Exception {
+        return connectClient(new Socket());
+    }
+
+    /** Connects a client by this socket and runs until the balancer has opened its connection. */
+    Socket connectClient(Socket socket) throws Exception {
         int before = clientSpies.size();
-        Socket socket = new Socket(address.getAddress(), address.getPort());
+        socket.connect(address);
         socket.setTcpNoDelay(true);
         socket.setSoTimeout(TIMEOUT_MILLIS);
         resources.add(socket);
--- a/balancer/src/test/java/gorsestack/proxy/UnreadResponsesTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/UnreadResponsesTest.java
@@ -9,8 +9,12 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Tests clients that do not read their responses. Guards against some hundred of them that use up the heap together, and against a client
@@ -109,6 +113,40 @@
         assertTrue(reading.open(), "what was counted has been given back");
     }
 
+    /**
+     * Guards against steady readers that are cut off because their responses together exceed the memory, though each is read at the speed
+     * that a client is allowed.
+     */
+    @ParameterizedTest
+    @CsvSource({"100,250000,true", "300,250000,false", "300,600000,true", "300,600000,false"})
+    void sendsWholeResponsesToHundredsOfClientsThatReadSlowly(int count, int bodyBytes, boolean lengthKnown)
+            throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(60);
+        List<SlowExchange> exchanges = new ArrayList<>();
+        long mostHeld = 0;
+        for (int ticks = 0; ticks < 20_000 / SlowExchange.TICK_MILLIS; ticks++) {
+            for (int i = 0; i < 4 && exchanges.size() < count; i++) {
+                exchanges.add(new SlowExchange(rig, "slow" + exchanges.size(), bodyBytes, lengthKnown));
+            }
+            for (SlowExchange exchange : exchanges) {
+                exchange.tick();
+            }
+            rig.advance(SlowExchange.TICK_MILLIS);
+            mostHeld = Math.max(mostHeld, responseBytes(rig));
+        }
+        for (SlowExchange exchange : exchanges) {
+            assertEquals(bodyBytes, exchange.receivedBytes, "of one response");
+        }
+        assertTrue(mostHeld <= 8 << 20, mostHeld + " bytes are held");
+        assertEquals(0, responseBytes(rig));
+    }
+
+    private static long responseBytes(DispatcherRig rig) {
+        Map<String, Long> inUse = new HashMap<>();
+        rig.dispatcher.bufferBudget().report(inUse::put);
+        return inUse.get("responses");
+    }
+
     /** Guards against a slow reader that is disconnected because no single write is sent whole within the time. */
     @Test
     void keepsAClientOfWhoseResponseTheSystemTakesSomeBytes() throws IOException {
--- a/balancer/src/test/java/gorsestack/wire/BodyRelayStatesTest.java
+++ b/balancer/src/test/java/gorsestack/wire/BodyRelayStatesTest.java
@@ -95,7 +95,7 @@
         private boolean ended;
 
         SequenceRun() {
-            relay = new BodyRelay(Integer.MAX_VALUE, nextPiece(), new BufferBudget(LIMITS), source);
+            relay = BodyRelay.ofRequest(Integer.MAX_VALUE, nextPiece(), new BufferBudget(LIMITS), source);
             relay.awaitTarget();
         }
 
