--- a/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
@@ -108,7 +108,7 @@
 
     @Override
     public void call(ClientConnection client, Request request, long arrivedAt) {
-        if (clients.full()) {
+        if (clients.full(calls.awaitingResponse())) {
             callsRejected++;
             invariants.rejected(RejectionReason.NO_ROOM);
             client.respond(Response.own(503, "", "too many connections"));
--- a/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
+++ b/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
@@ -41,6 +41,7 @@
     private int closedPossibleReaders;
 
     private boolean closingOfStalledReadersScheduled;
+    private final EvictionLog evictions = new EvictionLog();
 
     ClientConnectionManager(EventLoop eventLoop, Limits limits, Network network, BufferBudget bufferBudget) {
         this.eventLoop = eventLoop;
@@ -60,8 +61,15 @@
         return open.size();
     }
 
-    /** Returns whether new calls must be rejected and their connections closed. Prevents running out of descriptors. */
-    boolean full() {
+    /**
+     * Returns whether new calls must be rejected and their connections closed, as calls take up all connections. Connections without a call
+     * are no reason, since they give way.
+     */
+    boolean full(int openCalls) {
+        return openCalls >= maxConnections && acceptsNoMore();
+    }
+
+    private boolean acceptsNoMore() {
         return open.size() >= maxConnections + limits.client().spareConnections();
     }
 
@@ -95,13 +103,21 @@
         enforceLimit();
     }
 
-    /** Closes connections over the limit. Prevents clients that are idle or never send a call from excluding those that do. */
+    /**
+     * Closes connections over the limit. Prevents clients that are idle, never send a call or stop within a request from excluding those that
+     * do send one. While there are too many the check is repeated, whatever was closed: the socket keeps a connection on which input has
+     * arrived, and without the repetition nothing would be closed any more, as no other connection is accepted.
+     */
     private void enforceLimit() {
         int excess = open.size() - maxConnections;
-        for (ClosePriority priority : EnumSet.complementOf(EnumSet.of(ClosePriority.KEEP))) {
-            excess -= closeOldest(priority, Math.max(0, excess));
+        if (excess <= 0) {
+            return;
         }
-        if (excess > 0 && !limitCheckScheduled) {
+        long closing = open.stream()
+                .filter(connection -> connection.closePriority() == ClosePriority.CLOSING)
+                .count();
+        evict(excess - (int) closing);
+        if (!limitCheckScheduled) {
             limitCheckScheduled = true;
             eventLoop.at(eventLoop.now() + limits.client().firstRequestGraceNanos() / 2, () -> {
                 limitCheckScheduled = false;
@@ -110,16 +126,32 @@
         }
     }
 
+    private void evict(int count) {
+        int remaining = count;
+        for (ClosePriority priority : EnumSet.range(ClosePriority.LINGERING, ClosePriority.STOPPED)) {
+            remaining -= closeOldest(priority, Math.max(0, remaining));
+        }
+    }
+
     /** Closes up to {@code maxCount} connections of one priority, the oldest first, and returns how many. */
     private int closeOldest(ClosePriority priority, int maxCount) {
         List<ClientConnection> chosen = open.stream()
                 .filter(connection -> connection.closePriority() == priority)
+                .sorted(oldestFirst(priority))
                 .limit(maxCount)
                 .toList();
         chosen.forEach(ClientConnection::evict);
+        evictions.add(priority, chosen.size());
         return chosen.size();
     }
 
+    /** Returns the order within a priority: of requests that have stopped, first the longest; otherwise that in which they were opened. */
+    private static Comparator<ClientConnection> oldestFirst(ClosePriority priority) {
+        return priority == ClosePriority.STOPPED
+                ? Comparator.comparingLong(ClientConnection::lastProgressAt)
+                : Comparator.comparingLong(ClientConnection::number);
+    }
+
     /**
      * Rejects incomplete requests, first those that have made no progress for longest, until all requests together occupy no more memory
      * than they may. Without this, some hundred clients that stop within a body would use up the heap.
@@ -258,6 +290,7 @@
             if (closing) {
                 closeIdle(connection -> true);
             }
+            evictions.log(open.size(), acceptsNoMore());
             logRefusedRequests();
             logClosedStalledReaders();
         });
--- a/balancer/src/main/java/gorsestack/settings/ClientLimits.java
+++ b/balancer/src/main/java/gorsestack/settings/ClientLimits.java
@@ -18,6 +18,8 @@
  *     allows
  * @param firstRequestGraceNanos the time during which a new connection is not treated as idle. Clients send immediately, but on a loaded
  *     core the request is read some tens of milliseconds later.
+ * @param stoppedRequestGraceNanos the pause within a request after which its connection may be closed in favour of others, when there are too
+ *     many; a client that writes slowly pauses for less between two pieces
  * @param closeLingerNanos how long a connection stays open so that the client can read its error response. It is short because, in a
  *     flood of malformed requests, each request occupies a connection for this time.
  * @param evacuationIdleTimeoutNanos the idle time after which a connection is closed while clients are asked to disconnect. A client has
@@ -32,6 +34,7 @@
         long maxNanosPerBodyByte,
         long idleTimeoutNanos,
         long firstRequestGraceNanos,
+        long stoppedRequestGraceNanos,
         long closeLingerNanos,
         long evacuationIdleTimeoutNanos) {
 
@@ -52,6 +55,7 @@
         long maxNanosPerBodyByte = 62_500;
         long idleTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(2_000);
         long firstRequestGraceNanos = TimeUnit.MILLISECONDS.toNanos(50);
+        long stoppedRequestGraceNanos = TimeUnit.MILLISECONDS.toNanos(250);
         long closeLingerNanos = TimeUnit.MILLISECONDS.toNanos(300);
         long evacuationIdleTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(2_500);
         return new ClientLimits(
@@ -63,6 +67,7 @@
                 maxNanosPerBodyByte,
                 idleTimeoutNanos,
                 firstRequestGraceNanos,
+                stoppedRequestGraceNanos,
                 closeLingerNanos,
                 evacuationIdleTimeoutNanos);
     }
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -150,16 +150,12 @@
         try {
             Request request = Request.of(head, body, upload);
             Settings.Repeat repeat = handler.repeat(request.product());
-            MalformedMessageException violation = repeat == null ? null : request.retrySafetyViolation(repeat);
-            if (repeat == null && upload != null) {
-                reject(new MalformedMessageException(404, "no such class"));
-            } else if (repeat == null) {
-                respond(Response.own(404, "", "no such class"));
-            } else if (violation != null) {
-                reject(violation);
-            } else {
-                handler.call(this, request, arrivedAt);
+            if (repeat == null && upload == null) {
+                respond(Response.own(404, "", Request.NO_SUCH_CLASS));
+                return;
             }
+            request.checkClass(repeat);
+            handler.call(this, request, arrivedAt);
         } catch (MalformedMessageException e) {
             reject(e);
         }
@@ -240,22 +236,16 @@
         }
     }
 
-    /**
-     * Closes an overdue connection: requests that never end or never begin, and responses that are not read, would take up all connections
-     * that clients may have.
-     */
+    /** Closes an overdue connection: requests that never end and responses that are not read would take up all connections. */
     public void giveUpIfOverdue() {
         long now = eventLoop.now();
-        if (state != State.ENDING && writer.stalled()) {
+        if (state == State.ENDING) {
+            if (reader.hasUpload() && timings.discardStalled(now) && writer.unsent() == 0) {
+                abort(CloseReason.ANSWERED_EARLY);
+            }
+        } else if (writer.stalled()) {
             drop(CloseReason.STALLED);
-        }
-        if (state == State.ENDING && reader.hasUpload() && timings.discardStalled(now) && writer.unsent() == 0) {
-            abort(CloseReason.ANSWERED_EARLY);
-        }
-        if (state == State.ENDING || (inCall() && !reader.uploading()) || reader.uploadPaused()) {
-            return;
-        }
-        if (reader.overdue(now)) {
+        } else if (reader.overdue(now)) {
             reject(new MalformedMessageException(408, "the request did not come to its end"));
         } else if (!hasRequested && !reader.begun() && timings.firstRequestOverdue(now)) {
             closeIfIdle();
@@ -264,18 +254,25 @@
 
     /** Returns the priority for being closed when there are too many connections. */
     public ClosePriority closePriority() {
-        long now = eventLoop.now();
-        if (lingering && writer.unsent() == 0) {
-            return ClosePriority.LINGERING;
+        if (lingering) {
+            return writer.unsent() == 0 ? ClosePriority.LINGERING : ClosePriority.CLOSING;
+        }
+        if (state == State.CLOSING_IF_IDLE) {
+            return ClosePriority.CLOSING;
         }
         // A connection that is ending and does not linger is kept: its last response may not have been sent yet.
-        if (state != State.IDLE || timings.justOpened(now)) {
+        if (state == State.ENDING || channel.hasUnhandledInput() || reader.hasReadAhead()) {
             return ClosePriority.KEEP;
         }
-        if (!hasRequested) {
-            return ClosePriority.NEVER_USED;
+        if (reader.waitsForClient()) {
+            return timings.requestStopped(eventLoop.now()) ? ClosePriority.STOPPED : ClosePriority.KEEP;
         }
-        return !reader.begun() && timings.idleForLong(now) ? ClosePriority.IDLE : ClosePriority.KEEP;
+        return inCall() ? ClosePriority.KEEP : timings.priorityBetweenCalls(eventLoop.now(), hasRequested);
+    }
+
+    /** Returns when bytes last arrived or were sent. */
+    public long lastProgressAt() {
+        return timings.lastProgressAt();
     }
 
     /** Closes the connection at once; an open call is given up. */
@@ -287,10 +284,12 @@
         handler.closed(this);
     }
 
-    /** Closes the connection in favour of others: at once if it lingers, gracefully if it is between calls. */
+    /** Closes the connection in favour of others: at once if it lingers, with an error within a request, gracefully between calls. */
     public void evict() {
         if (lingering) {
             drop(CloseReason.ROOM);
+        } else if (reader.waitsForClient()) {
+            reject(new MalformedMessageException(503, "too many connections, and the request has stopped"));
         } else {
             closeIfIdle();
         }
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -76,18 +76,19 @@
         return parser.begun();
     }
 
-    /** Returns whether the request that has begun takes too long. */
+    /** Returns whether the request that has begun takes too long, because of its client. */
     boolean overdue(long now) {
-        return parser.begun() && timings.requestOverdue(now, parser);
+        return waitsForClient() && timings.requestOverdue(now, parser);
     }
 
-    /**
-     * Returns since when a request that is not small has made no progress, if its client has not sent all of it and this side reads it;
-     * otherwise Long.MAX_VALUE.
-     */
+    /** Returns whether part of a request has arrived and this side reads the rest, so that only the client holds it up. */
+    boolean waitsForClient() {
+        return parser.begun() && !parser.done() && !uploadPaused;
+    }
+
+    /** Returns since when a request that is not small has waited for its client; Long.MAX_VALUE if there is none. */
     long stalledSince() {
-        boolean waitsForClient = !parser.done() && !uploadPaused;
-        return waitsForClient && countedBytes > limits.buffer().smallRequestBytes()
+        return waitsForClient() && countedBytes > limits.buffer().smallRequestBytes()
                 ? timings.lastProgressAt()
                 : Long.MAX_VALUE;
     }
@@ -121,10 +122,6 @@
         return upload != null && !parser.done();
     }
 
-    boolean uploadPaused() {
-        return uploadPaused;
-    }
-
     long suspendedSince() {
         return suspendedSince;
     }
--- a/balancer/src/main/java/gorsestack/wire/ClientTimings.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientTimings.java
@@ -61,14 +61,19 @@
         return now - openedAt >= limits.client().idleTimeoutNanos();
     }
 
-    /** Returns whether the connection was opened so recently that its first request may be on its way. */
-    boolean justOpened(long now) {
-        return now - openedAt < limits.client().firstRequestGraceNanos();
+    /** Returns the priority for being closed of a connection on which no request has begun. */
+    ClosePriority priorityBetweenCalls(long now, boolean hasRequested) {
+        if (!hasRequested) {
+            boolean firstRequestMayFollow = now - openedAt < limits.client().firstRequestGraceNanos();
+            return firstRequestMayFollow ? ClosePriority.KEEP : ClosePriority.NEVER_USED;
+        }
+        boolean idleForLong = now - idleSince >= limits.client().idleTimeoutNanos();
+        return idleForLong ? ClosePriority.IDLE : ClosePriority.KEEP;
     }
 
-    /** Returns whether the connection has been idle for long enough to be closed when there are too many connections. */
-    boolean idleForLong(long now) {
-        return now - idleSince >= limits.client().idleTimeoutNanos();
+    /** Returns whether nothing has arrived of an incomplete request for so long that it gives way when there are too many connections. */
+    boolean requestStopped(long now) {
+        return now - lastProgressAt >= limits.client().stoppedRequestGraceNanos();
     }
 
     /** Returns whether the last response was sent so recently that the client may still be reading it. */
--- a/balancer/src/main/java/gorsestack/wire/ClosePriority.java
+++ b/balancer/src/main/java/gorsestack/wire/ClosePriority.java
@@ -8,6 +8,10 @@
     NEVER_USED,
     /** It has been idle for long after an earlier request. */
     IDLE,
+    /** Part of a request has arrived, and nothing more for some time. */
+    STOPPED,
+    /** It is being closed already. */
+    CLOSING,
     /** It is not closed. */
     KEEP
 }
--- a/balancer/src/main/java/gorsestack/wire/Request.java
+++ b/balancer/src/main/java/gorsestack/wire/Request.java
@@ -17,6 +17,9 @@
 public record Request(MessageHead head, byte[] body, BodyRelay upload, String id, String product, long remainingNanos) {
 
     private static final int MAX_ID_LENGTH = 200;
+    /** Text of the response to a request whose class is not configured. */
+    static final String NO_SUCH_CLASS = "no such class";
+
     private static final byte[] NO_BODY = new byte[0];
 
     /** Validates a message as an API call. */
@@ -61,6 +64,17 @@
         return new Request(head, NO_BODY, null, id, product, remainingNanos);
     }
 
+    /** Throws the error to respond with if the class is unknown, or method and key do not fit its retry safety. */
+    void checkClass(Settings.Repeat repeat) throws MalformedMessageException {
+        if (repeat == null) {
+            throw new MalformedMessageException(404, NO_SUCH_CLASS);
+        }
+        MalformedMessageException violation = retrySafetyViolation(repeat);
+        if (violation != null) {
+            throw violation;
+        }
+    }
+
     /**
      * Checks that method and key fit the product's retry safety, as an upstream concludes from them whether a call may be retried. Returns
      * null if they do, and the error to respond with otherwise.
--- a/balancer/src/test/java/gorsestack/proxy/ClientRequestTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/ClientRequestTest.java
@@ -135,11 +135,13 @@
         assertTrue(
                 idle.stream().noneMatch(FakeSocket::open),
                 "closed, as they were idle for 2 s and more than half of the limit is in use");
-        FakeSocket excess = null;
         for (int i = 0; i < 16; i++) {
-            excess = rig.client();
-            excess.send(request("once", "d" + i));
+            FakeSocket admitted = rig.client();
+            admitted.send(request("once", "d" + i));
+            assertEquals("", admitted.output, "a call is not refused because of connections without one");
         }
+        FakeSocket excess = rig.client();
+        excess.send(request("once", "excess"));
         expectResponse(503, excess);
         assertFalse(excess.open(), "a connection over the limit is closed after its response");
     }
