--- a/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
+++ b/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
@@ -167,8 +167,7 @@
     void withdrawUnsent(ActiveCall call) {
         for (UpstreamAttempt attempt : List.copyOf(call.attempts)) {
             if (attempt.waitsToBeWritten()) {
-                attempt.closeConnection();
-                attempt.ended(Outcome.NOT_SENT, null);
+                attempt.withdraw();
             }
         }
     }
--- a/balancer/src/main/java/gorsestack/proxy/UpstreamAttempt.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamAttempt.java
@@ -112,6 +112,13 @@
         return !isFinished() && connection != null && !connection.requestWritten();
     }
 
+    /** Gives up the connection of an attempt whose request is not known to be sent, and ends the attempt. */
+    void withdraw() {
+        Outcome withdrawn = connection.withdrawnOutcome();
+        closeConnection();
+        ended(withdrawn, null);
+    }
+
     /** Returns when the attempt was started or, if later, the body of its request became complete. */
     long startedAt() {
         return startedAt;
--- a/balancer/src/main/java/gorsestack/wire/BufferBudget.java
+++ b/balancer/src/main/java/gorsestack/wire/BufferBudget.java
@@ -11,8 +11,8 @@
 public final class BufferBudget {
     /** Bytes that one body may always have waiting, however many bodies there are: a smaller buffer would stall each write. */
     private static final int MIN_RELAY_BYTES = 4 << 10;
-    /** The part of the memory for responses past which new ones are taken only as fast as their clients read. */
-    private static final int SCARCE_RESPONSES_DIVISOR = 4;
+    /** The part of the memory for requests, or for responses, past which they are read only as fast as the other side takes them. */
+    private static final int SCARCE_DIVISOR = 4;
 
     private final Limits limits;
     private int openRelays;
@@ -87,6 +87,15 @@
         return requestBytes + readAheadBytes > limits.buffer().totalRequestBytes();
     }
 
+    /**
+     * Returns how much of an upload may be read ahead while its upstream does not take it: nothing while the requests occupy much memory.
+     * Without this, uploads to slow upstreams, of which none has stopped, would together exceed the limit, and other requests be refused.
+     */
+    int uploadReadAheadLimit() {
+        boolean scarce = requestBytes + readAheadBytes > limits.buffer().totalRequestBytes() / SCARCE_DIVISOR;
+        return scarce ? 0 : relayLimit();
+    }
+
     /** Returns whether a request of this size may be accepted. Small ones always are, so that large ones do not exclude them. */
     boolean acceptsRequest(int bytes) {
         return bytes <= limits.buffer().smallRequestBytes() || !requestsExceedLimit();
@@ -118,7 +127,7 @@
      * Without this, clients that read slowly would together exceed the limit, past which connections are closed.
      */
     boolean responsesScarce() {
-        return responseBytes > limits.buffer().totalResponseBytes() / SCARCE_RESPONSES_DIVISOR;
+        return responseBytes > limits.buffer().totalResponseBytes() / SCARCE_DIVISOR;
     }
 
     /** Returns how many bytes of one response that is relayed may wait to be sent to its client. */
@@ -164,14 +173,14 @@
     /**
      * Returns whether to go on reading a body that has no target yet. The end of the client's stream is only seen behind its body; if
      * reading stopped, attempts would be started for a client that has disconnected. Bodies reach 32 MB, so all of them together are
-     * limited to a part of the heap.
+     * limited to a part of the heap. Nothing more is read once the limit for all requests is exceeded.
      *
      * @param pendingBytes how much of the body waits for a target
      */
     boolean mayReadAhead(int pendingBytes) {
-        return pendingBytes <= relayLimit()
-                || (pendingBytes <= limits.buffer().unroutedBodyBytes()
-                        && readAheadBytes <= limits.buffer().totalRelayBytes() / 2);
+        boolean fewReadAhead = readAheadBytes <= limits.buffer().totalRelayBytes() / 2;
+        int limit = fewReadAhead ? limits.buffer().unroutedBodyBytes() : relayLimit();
+        return pendingBytes <= limit && !requestsExceedLimit();
     }
 
     /**
--- a/balancer/src/main/java/gorsestack/wire/Channel.java
+++ b/balancer/src/main/java/gorsestack/wire/Channel.java
@@ -75,8 +75,8 @@
     void suspendReading(boolean suspended);
 
     /**
-     * Reads nothing more, from now on, before the handler has received the last read. Without this, some reads are queued by the time at
-     * which the handler suspends reading.
+     * Sets whether nothing more is read before the handler has received the last read. Without this, some reads are queued by the time at
+     * which the handler suspends reading. With it, the end of the peer's stream is not seen behind a read that waits for the handler.
      */
-    default void readOneAtATime() {}
+    default void readOneAtATime(boolean enabled) {}
 }
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -185,7 +185,7 @@
      */
     private boolean mayReadAhead() {
         return upload.hasTarget()
-                ? readAhead.totalBytes() <= handler.bufferBudget().relayLimit()
+                ? readAhead.totalBytes() <= handler.bufferBudget().uploadReadAheadLimit()
                 : handler.bufferBudget().mayReadAhead(readAhead.totalBytes());
     }
 
@@ -198,6 +198,12 @@
     @Override
     public void pauseBody(boolean paused) {
         uploadPaused = paused;
+        if (paused) {
+            // If the upstream is slow, what is read beyond the limit would wait for it, too. Without an upstream the
+            // end of
+            // the client's stream must be seen, even by an event loop that is late.
+            channel.readOneAtATime(upload.hasTarget());
+        }
         timings.progressed(eventLoop.now());
         recordPause(paused);
         if (!paused && !readAhead.isEmpty()) {
@@ -276,10 +282,7 @@
             readAhead.addFirst(bytes, used, lastByteAt);
         }
         countBytes();
-        if (!handler.bufferBudget().acceptsRequest(countedBytes)) {
-            handler.bufferBudget().requestRefused();
-            throw new MalformedMessageException(503, "requests occupy too much memory");
-        }
+        refuseIfMemoryIsExhausted();
         connection.requestComplete();
         if (upload != null) {
             long sentAt = Math.min(lastByteAt, uploadArrival.mayBeCompleteSince(eventLoop.now()));
@@ -290,6 +293,14 @@
         }
     }
 
+    /** Refuses a request that has not been passed on. A body that is relayed has: its upstream may have begun by now, and no memory is gained. */
+    private void refuseIfMemoryIsExhausted() throws MalformedMessageException {
+        if (upload == null && !handler.bufferBudget().acceptsRequest(countedBytes)) {
+            handler.bufferBudget().requestRefused();
+            throw new MalformedMessageException(503, "requests occupy too much memory");
+        }
+    }
+
     /**
      * Parses what was sent ahead, in a task of its own. Of hundreds of requests, each with an immediate response, only one is handled in
      * each task: nested calls would overflow the stack, and other connections have their turn in between.
@@ -322,7 +333,7 @@
         // seen.
         if (readingSuspended
                 && (!uploading()
-                        || readAhead.totalBytes() <= handler.bufferBudget().relayLimit() / 2)) {
+                        || readAhead.totalBytes() <= handler.bufferBudget().uploadReadAheadLimit() / 2)) {
             resumeReading();
         }
     }
@@ -335,6 +346,7 @@
     /** Begins the next request. */
     void nextRequest() {
         continueSent = false;
+        channel.readOneAtATime(false);
         releaseRequest();
         if (readingSuspended) {
             resumeReading();
--- a/balancer/src/main/java/gorsestack/wire/RequestProgress.java
+++ b/balancer/src/main/java/gorsestack/wire/RequestProgress.java
@@ -8,6 +8,10 @@
     /** Whether the request waits for the connection to be established. */
     private boolean waitsForConnection;
 
+    /** Bytes of a relayed body that are not queued yet; negative if its length is not known. */
+    private long unqueuedBodyBytes;
+
+    private boolean relayed;
     private boolean bodyComplete;
     /** Number of writes that the socket has not reported as sent yet. */
     private int pendingWrites;
@@ -18,9 +22,15 @@
     /** Time at which the sockets' thread released the request's first byte or denied it. */
     private volatile long firstByteAt;
 
-    /** Begins a new attempt. */
-    void reset(boolean withoutRelayedBody, boolean connecting) {
-        bodyComplete = withoutRelayedBody;
+    /**
+     * Begins a new attempt.
+     *
+     * @param relayedBytes the length of the body that is relayed, 0 if none is; negative if its length is not known
+     */
+    void reset(long relayedBytes, boolean connecting) {
+        unqueuedBodyBytes = relayedBytes;
+        relayed = relayedBytes != 0;
+        bodyComplete = !relayed;
         pendingWrites = 0;
         waitsForConnection = connecting;
     }
@@ -39,8 +49,14 @@
         return allowed;
     }
 
-    void writeQueued() {
+    /**
+     * Records that a part of the relayed body is about to be queued. The last byte of a known length completes the body, whether or not
+     * {@link #bodyComplete} follows: the upstream needs nothing more to begin.
+     */
+    void writeQueued(int bytes) {
         pendingWrites++;
+        unqueuedBodyBytes -= bytes;
+        bodyComplete |= unqueuedBodyBytes == 0;
     }
 
     void writeSent() {
@@ -75,6 +91,14 @@
         return bodyComplete && !waitsForConnection && pendingWrites == 0;
     }
 
+    /**
+     * Returns whether the last byte of a relayed body was given to the socket. The socket may send it at any time until the connection is
+     * closed, and does not check again whether the request is still wanted.
+     */
+    boolean lastRelayedByteQueued() {
+        return relayed && bodyComplete && !waitsForConnection;
+    }
+
     /** Returns whether this is the first time that {@link #written} is true for the attempt. */
     boolean becameWritten() {
         boolean became = written() && !writtenReported;
--- a/balancer/src/main/java/gorsestack/wire/ResponseSource.java
+++ b/balancer/src/main/java/gorsestack/wire/ResponseSource.java
@@ -19,7 +19,7 @@
     public void pauseBody(boolean paused) {
         stallDetector.pause(paused);
         if (paused) {
-            channel.readOneAtATime(); // The client is slow: what is read beyond the limit would wait for it, too.
+            channel.readOneAtATime(true); // The client is slow: what is read beyond the limit would wait for it, too.
         }
         channel.suspendReading(paused);
     }
--- a/balancer/src/main/java/gorsestack/wire/SessionChannel.java
+++ b/balancer/src/main/java/gorsestack/wire/SessionChannel.java
@@ -257,8 +257,8 @@
     }
 
     @Override
-    public synchronized void readOneAtATime() {
-        readAheadBytes = 0;
+    public synchronized void readOneAtATime(boolean enabled) {
+        readAheadBytes = enabled ? 0 : shared.limits().buffer().readAheadBytes();
     }
 
     /** Counts bytes that were read or, with a negative number, handled. */
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -32,7 +32,6 @@
     private BodyRelay upload;
     /** Relays the body of a large response, whose attempt has ended; null unless one is being relayed. */
     private BodyRelay download;
-
     /** Whether the connection was given an attempt before the current one. */
     private boolean reused;
     /** Whether nothing has arrived since the connection was given the request. */
@@ -79,7 +78,7 @@
         attempt = newAttempt;
         upload = body;
         stallDetector.reset();
-        request.reset(body == null, channel == null);
+        request.reset(body == null ? 0 : body.length, channel == null);
         parser = HttpParser.response(limits);
         if (!request.waitsForConnection()) {
             writeRequest();
@@ -106,7 +105,7 @@
 
     @Override
     public void writeBody(byte[] bytes) {
-        request.writeQueued();
+        request.writeQueued(bytes.length);
         sendStallDetector.beforeWrite(channel);
         channel.write(bytes);
     }
@@ -116,10 +115,10 @@
         request.bodyComplete();
     }
 
-    /** Ends the attempt: its request will never be complete, so it has not run and never will. The upstream is not at fault. */
+    /** Ends the attempt: its request has not run and never will, unless its last byte was passed on. The upstream is not at fault. */
     @Override
     public void bodyFailed() {
-        end(Outcome.NOT_SENT);
+        end(withdrawnOutcome());
     }
 
     @Override
@@ -344,10 +343,7 @@
         return connecting() && attempt == null;
     }
 
-    /**
-     * Stops new requests, as the upstream drains, is in maintenance, was removed, has restarted or has another address: a request that has
-     * not begun to be sent is not sent.
-     */
+    /** Stops new requests, as the upstream drains, has gone or was replaced: one that has not begun to be sent is not sent. */
     public void stopNewRequests() {
         noNewRequests = true;
         if (connecting()) {
@@ -392,6 +388,11 @@
         owner.closed(this);
     }
 
+    /** Returns the outcome of the current attempt if it is given up before its request is known to be sent. */
+    public Outcome withdrawnOutcome() {
+        return request.lastRelayedByteQueued() ? Outcome.CANCELLED : Outcome.NOT_SENT;
+    }
+
     /** Returns whether the request of the current attempt may have been sent to its last byte, as far as the socket knows. */
     public boolean requestWritten() {
         return request.mayBeWritten(channel);
--- a/balancer/src/test/java/gorsestack/wire/RequestProgressTest.java
+++ b/balancer/src/test/java/gorsestack/wire/RequestProgressTest.java
@@ -12,7 +12,7 @@
 
     @Test
     void isNotWrittenWhileRequestWaitsForConnection() {
-        progress.reset(true, true);
+        progress.reset(0, true);
         assertTrue(progress.waitsForConnection());
         assertFalse(progress.written());
         progress.stopWaiting();
@@ -24,24 +24,39 @@
 
     @Test
     void isWrittenWhenLastWriteOfRelayedBodyIsSent() {
-        progress.reset(false, false);
+        progress.reset(-1, false);
         progress.begin();
-        progress.writeQueued();
+        progress.writeQueued(7);
         progress.writeSent();
         progress.bodyComplete();
         assertFalse(progress.becameWritten());
         progress.writeSent();
         assertTrue(progress.becameWritten());
         assertFalse(progress.becameWritten(), "reported once");
-        progress.reset(true, false);
+        progress.reset(0, false);
         progress.begin();
         progress.writeSent();
         assertTrue(progress.becameWritten(), "once for each attempt");
     }
 
+    /** Guards against a request that counts as incomplete although its upstream has all of it. */
+    @Test
+    void isWrittenWithTheLastByteOfAKnownLength() {
+        progress.reset(10, false);
+        progress.begin();
+        progress.writeQueued(7);
+        progress.writeSent();
+        progress.writeSent();
+        assertFalse(progress.written());
+        progress.writeQueued(3);
+        assertFalse(progress.written());
+        progress.writeSent();
+        assertTrue(progress.written());
+    }
+
     @Test
     void recordsWhetherAndWhenFirstByteWasReleased() {
-        progress.reset(true, false);
+        progress.reset(0, false);
         progress.begin();
         assertFalse(progress.release(7, false));
         assertTrue(progress.denied());
