The check of the connection limit looks at each connection once

Change: one pass groups the connections by priority, and one queued check serves all connections that were opened before it. What is closed is the same.

The processor time was not measured.

--- a/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
+++ b/balancer/src/main/java/gorsestack/proxy/ClientConnectionManager.java
@@ -9,12 +9,15 @@
 import gorsestack.wire.MalformedMessageException;
 import gorsestack.wire.Network;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 
 /**
  * Holds the connections that clients opened: limits their number, chooses which are closed when it is exceeded, and closes all of them at
@@ -24,6 +27,8 @@
  */
 public final class ClientConnectionManager {
     private static final System.Logger LOG = System.getLogger("gorsestack.client");
+    /** The priorities of connections that are closed when there are too many. */
+    private static final Set<ClosePriority> EVICTED = EnumSet.range(ClosePriority.LINGERING, ClosePriority.STOPPED);
 
     private final EventLoop eventLoop;
     private final Limits limits;
@@ -31,7 +36,11 @@
     private final BufferBudget bufferBudget;
     private final Set<ClientConnection> open = new LinkedHashSet<>();
     private int maxConnections;
+    /** Whether a check of the limit is queued on the event loop; one serves all connections that are opened before it. */
+    private boolean limitCheckQueued;
+    /** Whether a later check of the limit is scheduled. */
     private boolean limitCheckScheduled;
+
     private boolean closing;
     private boolean evacuating;
     private Runnable onAllClosed;
@@ -88,8 +97,12 @@
 
     void opened(ClientConnection connection) {
         open.add(connection);
-        if (open.size() > maxConnections) {
-            eventLoop.execute(this::enforceLimit);
+        if (open.size() > maxConnections && !limitCheckQueued) {
+            limitCheckQueued = true;
+            eventLoop.execute(() -> {
+                limitCheckQueued = false;
+                enforceLimit();
+            });
         }
     }
 
@@ -113,10 +126,19 @@
         if (excess <= 0) {
             return;
         }
-        long closing = open.stream()
-                .filter(connection -> connection.closePriority() == ClosePriority.CLOSING)
-                .count();
-        evict(excess - (int) closing);
+        Map<ClosePriority, List<ClientConnection>> byPriority = open.stream()
+                .collect(Collectors.groupingBy(
+                        ClientConnection::closePriority,
+                        () -> new EnumMap<>(ClosePriority.class),
+                        Collectors.toList()));
+        excess -= byPriority.getOrDefault(ClosePriority.CLOSING, List.of()).size();
+        for (ClosePriority priority : EVICTED) {
+            excess -= evict(priority, byPriority.getOrDefault(priority, List.of()), Math.max(0, excess));
+        }
+        scheduleLimitCheck();
+    }
+
+    private void scheduleLimitCheck() {
         if (!limitCheckScheduled) {
             limitCheckScheduled = true;
             eventLoop.at(eventLoop.now() + limits.client().firstRequestGraceNanos() / 2, () -> {
@@ -126,17 +148,9 @@
         }
     }
 
-    private void evict(int count) {
-        int remaining = count;
-        for (ClosePriority priority : EnumSet.range(ClosePriority.LINGERING, ClosePriority.STOPPED)) {
-            remaining -= closeOldest(priority, Math.max(0, remaining));
-        }
-    }
-
-    /** Closes up to {@code maxCount} connections of one priority, the oldest first, and returns how many. */
-    private int closeOldest(ClosePriority priority, int maxCount) {
-        List<ClientConnection> chosen = open.stream()
-                .filter(connection -> connection.closePriority() == priority)
+    /** Closes up to {@code maxCount} of these connections, which have this priority, the oldest first, and returns how many. */
+    private int evict(ClosePriority priority, List<ClientConnection> candidates, int maxCount) {
+        List<ClientConnection> chosen = candidates.stream()
                 .sorted(oldestFirst(priority))
                 .limit(maxCount)
                 .toList();
@@ -145,6 +159,14 @@
         return chosen.size();
     }
 
+    /** Closes connections that have long been idle and exceed half of the limit, the oldest first. */
+    private void closeIdleBeyondHalf() {
+        List<ClientConnection> idle = open.stream()
+                .filter(connection -> connection.closePriority() == ClosePriority.IDLE)
+                .toList();
+        evict(ClosePriority.IDLE, idle, Math.max(0, open.size() - maxConnections / 2));
+    }
+
     /** Returns the order within a priority: of requests that have stopped, first the longest; otherwise that in which they were opened. */
     private static Comparator<ClientConnection> oldestFirst(ClosePriority priority) {
         return priority == ClosePriority.STOPPED
@@ -286,7 +308,7 @@
     void sweep() {
         eventLoop.execute(() -> {
             List.copyOf(open).forEach(ClientConnection::giveUpIfOverdue);
-            closeOldest(ClosePriority.IDLE, Math.max(0, open.size() - maxConnections / 2));
+            closeIdleBeyondHalf();
             if (closing) {
                 closeIdle(connection -> true);
             }
