A connection with an unsent response counts neither as closable nor as closing

Cause: a connection that is idle but whose response its client does not read was chosen when connections run short, and then counted as closing until the response is sent; so did one that was rejected or answered early.

Found by reading.

--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -254,16 +254,17 @@
 
     /** Returns the priority for being closed when there are too many connections. */
     public ClosePriority closePriority() {
-        if (lingering) {
-            return writer.unsent() == 0 ? ClosePriority.LINGERING : ClosePriority.CLOSING;
+        if (lingering && writer.unsent() == 0) {
+            return ClosePriority.LINGERING;
+        }
+        // A connection whose response has not been sent yet is kept: nobody knows when it could be closed.
+        boolean responseUnsent = state == State.ENDING || writer.unsent() > 0;
+        if (responseUnsent || channel.hasUnhandledInput() || reader.hasReadAhead()) {
+            return ClosePriority.KEEP;
         }
         if (state == State.CLOSING_IF_IDLE) {
             return ClosePriority.CLOSING;
         }
-        // A connection that is ending and does not linger is kept: its last response may not have been sent yet.
-        if (state == State.ENDING || channel.hasUnhandledInput() || reader.hasReadAhead()) {
-            return ClosePriority.KEEP;
-        }
         if (reader.waitsForClient()) {
             return timings.requestStopped(eventLoop.now()) ? ClosePriority.STOPPED : ClosePriority.KEEP;
         }
--- a/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientRequestReader.java
@@ -199,9 +199,8 @@
     public void pauseBody(boolean paused) {
         uploadPaused = paused;
         if (paused) {
-            // If the upstream is slow, what is read beyond the limit would wait for it, too. Without an upstream the
-            // end of
-            // the client's stream must be seen, even by an event loop that is late.
+            // What is read beyond the limit would wait for a slow upstream, too. Without one the end of the client's
+            // stream must be seen, even if the event loop is late.
             channel.readOneAtATime(upload.hasTarget());
         }
         timings.progressed(eventLoop.now());
--- a/balancer/src/test/java/gorsestack/proxy/ConnectionLimitTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/ConnectionLimitTest.java
@@ -123,6 +123,24 @@
         expectResponse(200, slow);
     }
 
+    /** Guards against connections that are counted as closed while a response waits that their clients do not read. */
+    @Test
+    void closesUnusedConnectionsThoughOthersHaveAnUnreadResponse() throws IOException {
+        DispatcherRig rig = rig();
+        List<FakeSocket> unread = connect(rig, 12);
+        for (FakeSocket client : unread) {
+            client.peerStopped = true;
+            client.send("GET /_health HTTP/1.1\r\n\r\n");
+        }
+        rig.advance(2_100);
+        List<FakeSocket> unused = connect(rig, MAX_ACCEPTED - unread.size());
+        rig.advance(NEVER_USED_MILLIS);
+        assertEquals(unread.size(), open(unread));
+        assertEquals(MAX_CONNECTIONS - unread.size(), open(unused));
+        rig.advance(500);
+        assertEquals(unread.size(), open(unread), "closed in order only when the response has been sent");
+    }
+
     /** Prevents a connection from being closed whose whole request has been read and not handled yet. */
     @Test
     void keepsAConnectionWhoseRequestHasArrived() throws IOException {
