A request is rejected as stopped only after its socket was read once more

Cause: whether a request has stopped was decided by what this side had read. While the process is held up for over 250 ms the rest may arrive, and with too many connections the request was rejected as soon as the process went on.

Change: the socket's thread reads once more, and the request is rejected only if nothing has arrived, as for connections that are closed between calls.

--- a/balancer/src/main/java/gorsestack/wire/Channel.java
+++ b/balancer/src/main/java/gorsestack/wire/Channel.java
@@ -58,6 +58,16 @@
         finishUnlessInputArrived();
     }
 
+    /**
+     * Reads once more and then runs a task on the event loop, unless bytes have been read that the handler has not received. Prevents a
+     * decision on the silence of a peer whose bytes have arrived while this process was held up.
+     */
+    default void ifNothingArrived(Runnable task) {
+        if (!hasUnhandledInput()) {
+            task.run();
+        }
+    }
+
     /**
      * Reads and discards whatever arrives from now on, so that the end of the stream behind it is seen. A peer that sends too much is
      * disconnected.
--- a/balancer/src/main/java/gorsestack/wire/ClientConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/ClientConnection.java
@@ -206,10 +206,7 @@
         return writer.unsent();
     }
 
-    /**
-     * Ends the connection gracefully after the upstream's response has broken off, so that the client sees an incomplete response. Closing
-     * at once would lose the beginning of the response, and the client would have read nothing for a request that was processed.
-     */
+    /** Ends the connection gracefully as the upstream's response has broken off: the client sees a part of it, not nothing at all. */
     @Override
     public void bodyFailed() {
         responseOwed = false;
@@ -258,8 +255,7 @@
             return ClosePriority.LINGERING;
         }
         // A connection whose response has not been sent yet is kept: nobody knows when it could be closed.
-        boolean responseUnsent = state == State.ENDING || writer.unsent() > 0;
-        if (responseUnsent || channel.hasUnhandledInput() || reader.hasReadAhead()) {
+        if (state == State.ENDING || writer.unsent() > 0 || channel.hasUnhandledInput() || reader.hasReadAhead()) {
             return ClosePriority.KEEP;
         }
         if (state == State.CLOSING_IF_IDLE) {
@@ -290,7 +286,11 @@
         if (lingering) {
             drop(CloseReason.ROOM);
         } else if (reader.waitsForClient()) {
-            reject(new MalformedMessageException(503, "too many connections, and the request has stopped"));
+            channel.ifNothingArrived(() -> {
+                if (closePriority() == ClosePriority.STOPPED) {
+                    reject(new MalformedMessageException(503, "too many connections, and the request has stopped"));
+                }
+            });
         } else {
             closeIfIdle();
         }
--- a/balancer/src/main/java/gorsestack/wire/SessionChannel.java
+++ b/balancer/src/main/java/gorsestack/wire/SessionChannel.java
@@ -157,25 +157,33 @@
     public void finishUnlessInputArrived() {
         int expectedReads = handledCount;
         closeIfWriteStalls(unsent(), () -> readCount == expectedReads);
-        whenWritten(() -> endUnlessRead(expectedReads, this::shutOutput));
+        whenWritten(() -> ifNothingRead(expectedReads, this::shutOutput));
     }
 
     @Override
     public void closeUnlessInputArrived() {
         int expectedReads = handledCount;
-        whenWritten(() -> endUnlessRead(expectedReads, session::closeNow));
+        whenWritten(() -> ifNothingRead(expectedReads, session::closeNow));
+    }
+
+    @Override
+    public void ifNothingArrived(Runnable task) {
+        int expectedReads = handledCount;
+        shared.processor()
+                .execute(() ->
+                        ifNothingRead(expectedReads, () -> shared.eventLoop().execute(task)));
     }
 
     /**
-     * Ends the connection on the processor's thread, unless something has been read. A request that has arrived and has not been read yet
-     * is read now: if it were read after the end, it would be discarded.
+     * Runs an action on the processor's thread, unless something has been read. What has arrived and has not been read yet is read now: a
+     * request that is read after the end of its connection would be discarded.
      */
-    private void endUnlessRead(int expectedReads, Runnable end) {
+    private void ifNothingRead(int expectedReads, Runnable action) {
         if (readCount == expectedReads && !session.isClosing()) {
             shared.processor().readNow(session);
         }
         if (readCount == expectedReads) {
-            end.run();
+            action.run();
         }
     }
 
--- a/balancer/src/test/java/gorsestack/proxy/UnreadInputTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/UnreadInputTest.java
@@ -11,6 +11,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gorsestack.wire.ClosePriority;
 import gorsestack.wire.WatchMessages;
 import java.net.Socket;
 import org.junit.jupiter.api.Test;
@@ -20,6 +21,8 @@
 @Timeout(60)
 class UnreadInputTest {
     private static final String NOT_FOUND = unknownProduct("crossing");
+    /** The pause after which a request has stopped. */
+    private static final int STOPPED_MILLIS = 250;
 
     /** The request is in the system's buffer, and no thread has read it, when its connection is closed as idle. */
     @Test
@@ -45,6 +48,32 @@
         }
     }
 
+    /**
+     * The rest of a request is in the system's buffer, as this process was held up, when its connection is to give way because the request
+     * has stopped. One whose rest has not arrived is rejected.
+     */
+    @Test
+    void respondsToARequestWhoseRestIsUnreadWhenItIsTakenForStopped() throws Exception {
+        for (boolean restArrives : new boolean[] {true, false}) {
+            try (SocketRig rig = new SocketRig(1)) {
+                Socket client = rig.connectClient();
+                send(client, NOT_FOUND.substring(0, 20));
+                rig.runUntil(() -> rig.clientSpy(0).receivedCount == 1);
+                ThreadPause ioThread = rig.pauseIoThread();
+                if (restArrives) {
+                    send(client, NOT_FOUND.substring(20));
+                }
+                rig.advance(STOPPED_MILLIS);
+                assertEquals(ClosePriority.STOPPED, rig.clientConnections.get(0).closePriority());
+                rig.clientConnections.get(0).evict();
+                ioThread.resume();
+                rig.runUntil(() -> rig.clientSpy(0).sentCount == 1);
+                String expected = restArrives ? "HTTP/1.1 404 " : "HTTP/1.1 503 ";
+                assertTrue(readMessage(client).startsWith(expected), expected);
+            }
+        }
+    }
+
     /** A request that arrives after an unused connection was closed is not read, so its client may send it again. */
     @Test
     void readsNothingAfterAnUnusedConnectionIsClosed() throws Exception {
