--- a/balancer/src/main/java/gorsestack/decision/BalancingPolicy.java
+++ b/balancer/src/main/java/gorsestack/decision/BalancingPolicy.java
@@ -192,7 +192,7 @@
         last.timedFrom = now;
         call.responseCheckAt = now + call.product.slo() / RESPONSE_CHECKS_PER_SLO;
         last.upstream.inFlight += call.attemptsInFlight;
-        last.upstream.locality.concurrency.trackInFlight(now, call.product, call.attemptsInFlight);
+        last.locality.concurrency.trackInFlight(now, call.product, call.attemptsInFlight);
     }
 
     /** Handles the end of an attempt; {@code closed} is set if the exchange with the client has ended as well. */
@@ -209,8 +209,8 @@
         int countedAttempts = call.bodyIncomplete ? 0 : 1;
         UpstreamState upstream = endedAttempt.upstream;
         upstream.inFlight -= countedAttempts;
-        upstream.locality.concurrency.trackInFlight(now, call.product, -countedAttempts);
-        learn(upstream, call.product, outcome, duration);
+        endedAttempt.locality.concurrency.trackInFlight(now, call.product, -countedAttempts);
+        learn(endedAttempt, call.product, outcome, duration);
         if (IdleConnectionPolicy.shouldClose(upstream, localities[0], selector.recentCalls())) {
             actions.closeIdleConnections(upstream.endpoint.id());
         }
@@ -223,8 +223,9 @@
     }
 
     /** Updates everything that is learned from an attempt that has ended. */
-    private void learn(UpstreamState upstream, Product product, Outcome outcome, long duration) {
-        Locality locality = upstream.locality;
+    private void learn(CallAttempt attempt, Product product, Outcome outcome, long duration) {
+        UpstreamState upstream = attempt.upstream;
+        Locality locality = attempt.locality;
         AdaptiveConcurrencyLimit concurrency = locality.concurrency;
         double weight = LatencyEstimator.sampleWeight(upstream, product, now);
         boolean late = duration > Math.max(1, LATE_PER_MEAN_LATENCY * concurrency.latencyRatio) * product.slo();
--- a/balancer/src/main/java/gorsestack/decision/CallAttempt.java
+++ b/balancer/src/main/java/gorsestack/decision/CallAttempt.java
@@ -3,6 +3,10 @@
 /** One attempt of a call at one upstream. Belongs to a {@link CallState}; used on the policy's thread only. */
 final class CallAttempt {
     final UpstreamState upstream;
+    /** The upstream's entry in the endpoint list when the attempt was decided on; later changes of the list do not alter it. */
+    final Endpoint sentTo;
+    /** The locality in which the attempt counts, also if its upstream is listed in another zone later. */
+    final Locality locality;
     /** Time in nanoseconds from which the attempt is timed: its start, or the completion of a request body that was still arriving then. */
     long timedFrom;
 
@@ -12,6 +16,8 @@
 
     CallAttempt(UpstreamState upstream, long timedFrom) {
         this.upstream = upstream;
+        sentTo = upstream.endpoint;
+        locality = upstream.locality;
         this.timedFrom = timedFrom;
     }
 }
--- a/balancer/src/main/java/gorsestack/decision/FleetMembership.java
+++ b/balancer/src/main/java/gorsestack/decision/FleetMembership.java
@@ -66,24 +66,43 @@
         }
     }
 
-    /** Applies the state of one endpoint; forgets what was learned if the upstream is new, has restarted or had been removed. */
     private UpstreamState apply(Endpoint endpoint, long now) {
-        boolean known = upstreams.find(endpoint.id()) != null;
+        UpstreamState known = upstreams.find(endpoint.id());
+        return known == null ? add(endpoint, now) : update(known, endpoint, now);
+    }
+
+    private UpstreamState add(Endpoint endpoint, long now) {
         UpstreamState upstream = upstreams.findOrAdd(endpoint.id());
-        if (!known) {
-            int locality = settings.localityOf(endpoint.zone());
-            upstream.locality = localities[locality];
-            upstream.rotationCredit = random.next();
-            upstream.upstreamClass = upstreams.classOf(locality, endpoint.kind(), endpoint.weight());
-        }
+        upstream.rotationCredit = random.next();
+        place(upstream, endpoint);
+        upstreams.update(upstream, endpoint);
+        resetState(upstream, now);
+        return upstream;
+    }
+
+    /** Updates an upstream; forgets what was learned if it has restarted, had been removed or is in another zone than before. */
+    private UpstreamState update(UpstreamState upstream, Endpoint listed, long now) {
         Endpoint previous = upstream.endpoint;
+        // What was known of a removed upstream stays: the message that removes it may hold nothing but its id.
+        Endpoint endpoint = listed.state() == EndpointState.GONE ? previous.removed() : listed;
+        boolean moved = !previous.zone().equals(endpoint.zone());
+        if (moved) {
+            place(upstream, endpoint);
+        }
         upstreams.update(upstream, endpoint);
-        if (!known || previous.startedAt() != endpoint.startedAt() || previous.state() == EndpointState.GONE) {
+        if (moved || previous.startedAt() != endpoint.startedAt() || previous.state() == EndpointState.GONE) {
             resetState(upstream, now);
         }
         return upstream;
     }
 
+    /** Puts an upstream into the locality of its zone. Attempts in flight stay counted in the locality in which they began. */
+    private void place(UpstreamState upstream, Endpoint endpoint) {
+        int locality = settings.localityOf(endpoint.zone());
+        upstream.locality = localities[locality];
+        upstream.upstreamClass = upstreams.classOf(locality, endpoint.kind(), endpoint.weight());
+    }
+
     private void resetState(UpstreamState upstream, long now) {
         outliers.setEjected(upstream, false);
         upstream.forgetLearned(now);
--- a/balancer/src/main/java/gorsestack/decision/RepeatSafety.java
+++ b/balancer/src/main/java/gorsestack/decision/RepeatSafety.java
@@ -25,9 +25,9 @@
         if (firstPossiblyExecuted == null || product.repeat() == Repeat.IDEMPOTENT || product.scope() == Scope.ALL) {
             return true;
         }
-        Endpoint first = firstPossiblyExecuted.upstream.endpoint;
+        Endpoint first = firstPossiblyExecuted.sentTo;
         Endpoint next = upstream.endpoint;
-        return product.scope() == Scope.ZONE ? first.zone().equals(next.zone()) : first.cell() == next.cell();
+        return product.scope() == Scope.ZONE ? first.sharesZoneWith(next) : first.sharesCellWith(next);
     }
 
     /** Returns whether the client may repeat the call through any balancer, which a rate-limit response promises. */
--- a/balancer/src/main/java/gorsestack/decision/Settings.java
+++ b/balancer/src/main/java/gorsestack/decision/Settings.java
@@ -1,6 +1,7 @@
 package gorsestack.decision;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The part of one balancer's configuration on which its decisions depend. Immutable; {@link BalancingPolicy} is created with it. Times are
@@ -58,9 +59,9 @@
      * Returns a zone's index among the localities: 0 for this balancer's own zone, then the others in the cyclic order of {@code zones},
      * and {@code zones.size()} for an unknown zone. If the balancer's own zone is not listed, the first zone counts as its own.
      */
-    int localityOf(String endpointZone) {
+    int localityOf(Optional<String> endpointZone) {
         int own = Math.max(0, zones.indexOf(zone));
-        int position = zones.indexOf(endpointZone);
+        int position = endpointZone.map(zones::indexOf).orElse(-1);
         return position < 0 ? zones.size() : (position - own + zones.size()) % zones.size();
     }
 
--- a/balancer/src/main/java/gorsestack/invariant/SendAudit.java
+++ b/balancer/src/main/java/gorsestack/invariant/SendAudit.java
@@ -61,8 +61,8 @@
      *
      * @param startedAt when the first byte of the attempt's request was written
      * @param earlierDecidedAt when the earlier attempt was decided on
-     * @param earlier the upstream of the earlier attempt, null if it is no longer known
-     * @param current the upstream of this attempt, null if it is no longer known
+     * @param earlier the upstream of the earlier attempt as it was listed at that time, null if it was not
+     * @param current the upstream of this attempt as it was listed when the attempt was started, null if it was not
      */
     public static String retryViolation(
             Product product, long startedAt, long earlierDecidedAt, Endpoint earlier, Endpoint current) {
@@ -75,12 +75,22 @@
         if (startedAt - PAUSE_TOLERANCE_NANOS > earlierDecidedAt + product.repeatWindow()) {
             return "repeat_window_over";
         }
-        if (product.scope() == Scope.ALL || earlier == null || current == null) {
-            return null;
+        return product.scope() == Scope.ALL ? null : scopeViolation(product.scope(), earlier, current);
+    }
+
+    private static String scopeViolation(Scope scope, Endpoint earlier, Endpoint current) {
+        if (earlier == null || current == null) {
+            return "group_unknown";
+        }
+        boolean known = scope == Scope.ZONE
+                ? earlier.zone().isPresent() && current.zone().isPresent()
+                : earlier.cell().isPresent() && current.cell().isPresent();
+        if (!known) {
+            return "group_unknown";
         }
-        boolean sameScope = product.scope() == Scope.ZONE
+        boolean same = scope == Scope.ZONE
                 ? earlier.zone().equals(current.zone())
-                : earlier.cell() == current.cell();
-        return sameScope ? null : "outside_group";
+                : earlier.cell().equals(current.cell());
+        return same ? null : "outside_group";
     }
 }
--- a/balancer/src/main/java/gorsestack/proxy/AddressOwners.java
+++ b/balancer/src/main/java/gorsestack/proxy/AddressOwners.java
@@ -21,10 +21,15 @@
 final class AddressOwners {
     private final Map<InetSocketAddress, Endpoint> ownerByAddress = new HashMap<>();
     private final Map<String, InetSocketAddress> addressById = new HashMap<>();
-    /** Listed upstreams whose address another one has taken, with the start at which they had it. */
+    /** Listed upstreams whose address another one has taken. */
     private final Map<String, Displaced> displaced = new HashMap<>();
 
-    private record Displaced(InetSocketAddress address, long startedAt) {}
+    /** An upstream as it was listed at the address that another one has taken. */
+    private record Displaced(InetSocketAddress address, Endpoint endpoint) {
+        boolean isStart(InetSocketAddress listedAddress, long startedAt) {
+            return address.equals(listedAddress) && endpoint.startedAt() == startedAt;
+        }
+    }
 
     /** Returns the event without upstreams whose address another one has; a delta removes those that were listed before. */
     WatchEvent withoutDisplaced(WatchEvent event) {
@@ -47,15 +52,12 @@
         }
         if (delta) {
             newlyDisplaced.retainAll(displaced.keySet());
-            newlyDisplaced.forEach(id -> endpoints.add(0, removed(id)));
+            newlyDisplaced.forEach(
+                    id -> endpoints.add(0, displaced.get(id).endpoint().removed()));
         }
         return new WatchEvent(event.index(), new EndpointUpdate(event.update().kind(), endpoints), event.addresses());
     }
 
-    private static Endpoint removed(String id) {
-        return new Endpoint(id, EndpointState.GONE, 0, 0, 1, "", "");
-    }
-
     private void forgetUnlisted(EndpointUpdate completeList) {
         Set<String> listed = new HashSet<>();
         completeList.endpoints().forEach(endpoint -> listed.add(endpoint.id()));
@@ -81,19 +83,20 @@
             return;
         }
         InetSocketAddress address = listedAddress != null ? listedAddress : addressById.get(id);
-        if (address == null || new Displaced(address, endpoint.startedAt()).equals(displaced.get(id))) {
+        Displaced earlier = displaced.get(id);
+        if (address == null || (earlier != null && earlier.isStart(address, endpoint.startedAt()))) {
             return;
         }
         Endpoint owner = ownerByAddress.get(address);
         if (owner != null && !owner.id().equals(id) && !takesOver(endpoint, owner)) {
             forget(id);
-            displaced.put(id, new Displaced(address, endpoint.startedAt()));
+            displaced.put(id, new Displaced(address, endpoint));
             newlyDisplaced.add(id);
             return;
         }
         if (owner != null && !owner.id().equals(id)) {
             addressById.remove(owner.id());
-            displaced.put(owner.id(), new Displaced(address, owner.startedAt()));
+            displaced.put(owner.id(), new Displaced(address, owner));
             newlyDisplaced.add(owner.id());
         }
         if (!address.equals(addressById.get(id))) {
--- a/balancer/src/main/java/gorsestack/proxy/AttemptAuditor.java
+++ b/balancer/src/main/java/gorsestack/proxy/AttemptAuditor.java
@@ -47,12 +47,8 @@
 
     private void checkRetry(
             UpstreamAttempt attempt, long firstByteAt, Settings.Product product, UpstreamAttempt earlier) {
-        String violation = SendAudit.retryViolation(
-                product,
-                firstByteAt,
-                earlier.startedAt(),
-                pool.endpoint(earlier.upstream),
-                pool.endpoint(attempt.upstream));
+        String violation =
+                SendAudit.retryViolation(product, firstByteAt, earlier.startedAt(), earlier.sentTo, attempt.sentTo);
         if (violation != null) {
             invariants.violated(Rule.REPEAT, attempt.call.id, violation);
         }
--- a/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
+++ b/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
@@ -70,7 +70,8 @@
         long now = clock.inputTime();
         Settings.Repeat repeat = products.repeat(call.request().product());
         long sendBy = repeat == Settings.Repeat.DEDUPLICATED ? retryWindowEnd(call) : Long.MAX_VALUE;
-        UpstreamAttempt attempt = new UpstreamAttempt(call, upstream, now, now + timeout, sendBy, eventLoop, this);
+        UpstreamAttempt attempt = new UpstreamAttempt(
+                call, upstream, pool.endpoint(upstream), now, now + timeout, sendBy, eventLoop, this);
         countRetry(call);
         call.attemptStarted(attempt);
         if (!call.client.mayBeConnected()) {
--- a/balancer/src/main/java/gorsestack/proxy/EndpointCache.java
+++ b/balancer/src/main/java/gorsestack/proxy/EndpointCache.java
@@ -10,6 +10,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.TreeMap;
 
 /**
@@ -44,9 +46,9 @@
         return new PersistentState.StoredEndpoint(
                 endpoint.id(),
                 addressText,
-                endpoint.zone(),
+                endpoint.zone().orElse(""),
                 endpoint.kind(),
-                endpoint.cell(),
+                endpoint.cell().isPresent() ? endpoint.cell().getAsInt() : null,
                 endpoint.state() == EndpointState.READY ? READY : DRAINING,
                 endpoint.weight(),
                 endpoint.startedAt() / 1_000_000);
@@ -79,10 +81,10 @@
                         member.name(),
                         ready ? EndpointState.READY : EndpointState.DRAINING,
                         member.sinceMs() * 1_000_000,
-                        member.group(),
+                        member.group() == null ? OptionalInt.empty() : OptionalInt.of(member.group()),
                         member.weight(),
                         member.type(),
-                        member.zone()));
+                        Optional.of(member.zone()).filter(zone -> !zone.isEmpty())));
             }
         }
         return new WatchEvent(persisted.index(), new EndpointUpdate(EndpointUpdate.Kind.CACHED, endpoints), addresses);
--- a/balancer/src/main/java/gorsestack/proxy/UpstreamAttempt.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamAttempt.java
@@ -1,5 +1,6 @@
 package gorsestack.proxy;
 
+import gorsestack.decision.Endpoint;
 import gorsestack.decision.Outcome;
 import gorsestack.wire.AttemptListener;
 import gorsestack.wire.EventLoop;
@@ -43,6 +44,9 @@
     final int number;
 
     final String upstream;
+    /** The upstream's entry in the endpoint list when the attempt was started, which later changes do not alter; null if it had none. */
+    final Endpoint sentTo;
+
     private final Listener listener;
     private long startedAt;
     private UpstreamConnection connection;
@@ -53,6 +57,7 @@
     UpstreamAttempt(
             ActiveCall call,
             String upstream,
+            Endpoint sentTo,
             long startedAt,
             long deadline,
             long sendBy,
@@ -61,6 +66,7 @@
         super(call, clock, deadline, sendBy);
         this.number = call.attempts.size();
         this.upstream = upstream;
+        this.sentTo = sentTo;
         this.startedAt = startedAt;
         this.listener = listener;
     }
--- a/balancer/src/main/java/gorsestack/proxy/UpstreamConnectionPool.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamConnectionPool.java
@@ -108,7 +108,8 @@
     private void removeUnlisted(EndpointUpdate completeList) {
         Set<String> listedIds = new HashSet<>();
         completeList.endpoints().forEach(endpoint -> listedIds.add(endpoint.id()));
-        List.copyOf(addresses.keySet()).stream()
+        // Discovery may list a draining upstream without its address.
+        List.copyOf(endpoints.keySet()).stream()
                 .filter(upstream -> !listedIds.contains(upstream))
                 .forEach(this::remove);
     }
@@ -135,14 +136,23 @@
         }
     }
 
-    /** Sets a list entry. Prevents the reuse of connections to an upstream that has restarted: they would break on the next request. */
+    /**
+     * Sets a list entry. Prevents the reuse of connections to an upstream that has restarted: they would break on the next request. Attempts
+     * at one that is listed in another zone or cell than before are not sent either, as they were decided on for the previous one.
+     */
     private void setEndpoint(Endpoint endpoint) {
         Endpoint previous = endpoints.put(endpoint.id(), endpoint);
-        if (previous != null && previous.startedAt() != endpoint.startedAt()) {
+        if (previous != null && !isSameProcess(previous, endpoint)) {
             toBeClosed.add(endpoint.id());
         }
     }
 
+    private static boolean isSameProcess(Endpoint one, Endpoint other) {
+        return one.startedAt() == other.startedAt()
+                && one.zone().equals(other.zone())
+                && one.cell().equals(other.cell());
+    }
+
     private void setDraining(String upstream, boolean isDraining) {
         if (isDraining && draining.add(upstream)) {
             toBeClosed.add(upstream);
--- a/balancer/src/main/java/gorsestack/recovery/PersistentState.java
+++ b/balancer/src/main/java/gorsestack/recovery/PersistentState.java
@@ -88,13 +88,18 @@
      */
     public record EndpointSnapshot(long index, String discovery, long confirmed, List<StoredEndpoint> members) {}
 
-    /** Endpoint with the fields that it has in the discovery protocol. */
+    /**
+     * Endpoint with the fields that it has in the discovery protocol.
+     *
+     * @param zone zone of the upstream; empty if discovery did not tell it
+     * @param group group of the upstream; null if discovery did not tell it
+     */
     public record StoredEndpoint(
             String name,
             String address,
             String zone,
             String type,
-            int group,
+            Integer group,
             String status,
             double weight,
             long sinceMs) {}
--- a/balancer/src/main/java/gorsestack/recovery/StateCodec.java
+++ b/balancer/src/main/java/gorsestack/recovery/StateCodec.java
@@ -159,16 +159,22 @@
                     .put("discovery", snapshot.discovery())
                     .put("confirmed", snapshot.confirmed()));
             for (PersistentState.StoredEndpoint endpoint : snapshot.members()) {
-                writeRecord(record("member")
-                        .put("name", endpoint.name())
-                        .put("address", endpoint.address())
-                        .put("zone", endpoint.zone())
-                        .put("type", endpoint.type())
-                        .put("group", endpoint.group())
-                        .put("status", endpoint.status())
-                        .put("weight", endpoint.weight())
-                        .put("since_ms", endpoint.sinceMs()));
+                writeEndpoint(endpoint);
             }
         }
+
+        private void writeEndpoint(PersistentState.StoredEndpoint endpoint) {
+            ObjectNode record = record("member")
+                    .put("name", endpoint.name())
+                    .put("address", endpoint.address())
+                    .put("zone", endpoint.zone())
+                    .put("type", endpoint.type());
+            if (endpoint.group() != null) {
+                record.put("group", endpoint.group());
+            }
+            writeRecord(record.put("status", endpoint.status())
+                    .put("weight", endpoint.weight())
+                    .put("since_ms", endpoint.sinceMs()));
+        }
     }
 }
--- a/balancer/src/main/java/gorsestack/recovery/StateRecordReader.java
+++ b/balancer/src/main/java/gorsestack/recovery/StateRecordReader.java
@@ -103,7 +103,7 @@
                 record.path("address").asText(),
                 record.path("zone").asText(),
                 record.path("type").asText(),
-                record.path("group").asInt(),
+                record.path("group").isInt() ? record.path("group").intValue() : null,
                 record.path("status").asText(),
                 record.path("weight").asDouble(1),
                 record.path("since_ms").asLong()));
--- a/balancer/src/main/java/gorsestack/server/JvmWarmUp.java
+++ b/balancer/src/main/java/gorsestack/server/JvmWarmUp.java
@@ -19,6 +19,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -76,10 +78,10 @@
         List<Endpoint> endpoints = new ArrayList<>();
         Map<String, InetSocketAddress> addresses = new HashMap<>();
         for (int i = 0; i < ENDPOINTS; i++) {
-            String zone = settings.zones().isEmpty()
-                    ? ""
-                    : settings.zones().get(i % settings.zones().size());
-            endpoints.add(new Endpoint("w" + i, EndpointState.READY, 0, i, 1, "", zone));
+            Optional<String> zone = settings.zones().isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(settings.zones().get(i % settings.zones().size()));
+            endpoints.add(new Endpoint("w" + i, EndpointState.READY, 0, OptionalInt.of(i), 1, "", zone));
             addresses.put("w" + i, new InetSocketAddress(1 + i));
         }
         return new WatchEvent(0, new EndpointUpdate(EndpointUpdate.Kind.SNAPSHOT, endpoints), addresses);
--- a/balancer/src/main/java/gorsestack/simulator/EventDispatcher.java
+++ b/balancer/src/main/java/gorsestack/simulator/EventDispatcher.java
@@ -17,6 +17,8 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 
 /** Passes each event of a batch to the policy of the balancer it is addressed to, for {@link SimulatorHost}. Not thread-safe. */
 final class EventDispatcher {
@@ -98,14 +100,20 @@
     private static Endpoint endpoint(MessageReader item) throws IOException {
         long state = item.integer("state");
         long startedAt = SimulatorTime.nanos(item.numberOr("startedAt", 0));
-        int cell = (int) item.numberOr("cluster", 0);
+        double cell = item.numberOr("cluster", Double.NaN);
         double weight = item.numberOr("powerHint", 1);
         String type = item.textOrNull("type");
         String zone = item.textOrNull("regionPart");
         String id = item.text("upstream");
         item.end();
         return new Endpoint(
-                id, endpointState(state), startedAt, cell, weight, type == null ? "" : type, zone == null ? "" : zone);
+                id,
+                endpointState(state),
+                startedAt,
+                Double.isNaN(cell) ? OptionalInt.empty() : OptionalInt.of((int) cell),
+                weight,
+                type == null ? "" : type,
+                Optional.ofNullable(zone).filter(name -> !name.isEmpty()));
     }
 
     private static EndpointState endpointState(long state) {
--- a/balancer/src/main/java/gorsestack/wire/WatchEvent.java
+++ b/balancer/src/main/java/gorsestack/wire/WatchEvent.java
@@ -11,6 +11,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * One event of the watch on discovery. Immutable; {@link DiscoveryWatch} parses it and passes it to its listener on the event loop's
@@ -71,10 +73,10 @@
                     name,
                     state,
                     entry.path("since_ms").asLong(0) * NANOS_PER_MILLI,
-                    entry.path("group").asInt(0),
+                    cell(entry.path("group")),
                     entry.path("weight").asDouble(1),
                     entry.path("type").asText(""),
-                    entry.path("zone").asText("")));
+                    Optional.of(entry.path("zone").asText("")).filter(zone -> !zone.isEmpty())));
         }
         EndpointUpdate.Kind kind = kindOverride != null
                 ? kindOverride
@@ -82,6 +84,12 @@
         return new WatchEvent(node.path("index").asLong(), new EndpointUpdate(kind, endpoints), addresses);
     }
 
+    private static OptionalInt cell(JsonNode group) {
+        return group.canConvertToExactIntegral() && group.canConvertToInt()
+                ? OptionalInt.of(group.intValue())
+                : OptionalInt.empty();
+    }
+
     /** Parses a numeric address and port; returns null for anything else, as a host name would need a blocking lookup. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/balancer/src/test/java/gorsestack/decision/DecisionTrace.java
+++ b/balancer/src/test/java/gorsestack/decision/DecisionTrace.java
@@ -11,6 +11,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
@@ -157,10 +159,10 @@
                 "u" + upstreamsCreated++,
                 EndpointState.READY,
                 startedAt,
-                random.nextInt(3),
+                OptionalInt.of(random.nextInt(3)),
                 WEIGHTS[random.nextInt(WEIGHTS.length)],
                 KINDS[random.nextInt(KINDS.length)],
-                zone);
+                Optional.of(zone));
         upstream.meanMillis = 10 + random.nextInt(120);
         upstream.capacity = 1 + random.nextInt(10);
         upstream.failureFraction = random.nextInt(6) == 0 ? 0.3 : 0.005;
@@ -373,7 +375,8 @@
     }
 
     private void failZone() {
-        String zone = settings.zones().get(random.nextInt(settings.zones().size()));
+        Optional<String> zone =
+                Optional.of(settings.zones().get(random.nextInt(settings.zones().size())));
         List<Upstream> failing = upstreams.values().stream()
                 .filter(u -> u.entry.zone().equals(zone))
                 .toList();
--- a/balancer/src/test/java/gorsestack/decision/FleetMembershipTest.java
+++ b/balancer/src/test/java/gorsestack/decision/FleetMembershipTest.java
@@ -27,6 +27,27 @@
         assertEquals(1, upstream.locality.members.length);
     }
 
+    /**
+     * An upstream that is listed in another zone than before belongs to that zone from then on. The attempts in flight at it stay counted in
+     * the zone in which they began; without this, that zone would count them for good.
+     */
+    @Test
+    void movesUpstreamToTheZoneInWhichItIsListed() {
+        PolicySimulation simulation = new PolicySimulation(PolicySimulation.settings(1, 0, 2, false, Scope.ALL), 1);
+        simulation.updateEndpoints(Kind.CACHED, entry("u0", EndpointState.READY, 0, 0, "a"));
+        UpstreamState upstream = simulation.policy.upstreams.find("u0");
+        Locality before = upstream.locality;
+        simulation.call("c", "once", 400 * MS);
+        assertEquals(1, before.concurrency.inFlight);
+        simulation.updateEndpoints(Kind.DELTA, entry("u0", EndpointState.READY, 5, 0, "b"));
+        assertEquals(1, upstream.locality.index);
+        assertEquals(0, before.members.length);
+        assertEquals(1, upstream.locality.members.length);
+        simulation.end("c", 0, Outcome.FULFILLED);
+        assertEquals(0, before.concurrency.inFlight);
+        assertEquals(0, upstream.locality.concurrency.inFlight);
+    }
+
     /**
      * Discovery may list an upstream that is in maintenance, also with a new start time or, after it was removed, in another
      * slot. Maintenance has to hold in each of these cases.
--- a/balancer/src/test/java/gorsestack/decision/PolicySimulation.java
+++ b/balancer/src/test/java/gorsestack/decision/PolicySimulation.java
@@ -12,6 +12,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -26,6 +28,9 @@
     /** An attempt that the policy has started. */
     static final class Attempt {
         String upstream;
+        /** The upstream's entry in the endpoint list when the attempt was started. */
+        Endpoint sentTo;
+
         long sentAt;
         /** How the attempt ended; null while it is in flight. */
         Outcome outcome;
@@ -145,7 +150,7 @@
     }
 
     static Endpoint entry(String id, EndpointState state, long startedAt, int cell, String zone) {
-        return new Endpoint(id, state, startedAt, cell, 1, "", zone);
+        return new Endpoint(id, state, startedAt, OptionalInt.of(cell), 1, "", Optional.of(zone));
     }
 
     /** Sends the policy an update of the endpoint list. */
@@ -268,20 +273,18 @@
                 addViolation("repeat of a non-idempotent call that may have executed", call);
             }
             if (mayHaveExecuted(earlier) && call.product.repeat() == Repeat.DEDUPLICATED) {
-                Endpoint earlierEndpoint = endpoints.get(earlier.upstream);
-                Endpoint nextEndpoint = endpoints.get(upstream);
+                Endpoint next = endpoints.get(upstream);
                 if (now - earlier.sentAt >= call.product.repeatWindow()) {
                     addViolation("repeat after the repeat window", call);
                 }
-                if ((call.product.scope() == Scope.ZONE
-                                && !earlierEndpoint.zone().equals(nextEndpoint.zone()))
-                        || (call.product.scope() == Scope.CELL && earlierEndpoint.cell() != nextEndpoint.cell())) {
+                if (!isInScope(call.product.scope(), earlier.sentTo, next)) {
                     addViolation("repeat outside the scope that recognizes it", call);
                 }
             }
         }
         Attempt attempt = new Attempt();
         attempt.upstream = upstream;
+        attempt.sentTo = endpoints.get(upstream);
         attempt.sentAt = now;
         call.attempts.add(attempt);
         int number = call.attempts.size() - 1;
@@ -290,6 +293,14 @@
         }
     }
 
+    private static boolean isInScope(Scope scope, Endpoint first, Endpoint next) {
+        return switch (scope) {
+            case ALL -> true;
+            case ZONE -> first.zone().isPresent() && first.zone().equals(next.zone());
+            case CELL -> first.cell().isPresent() && first.cell().equals(next.cell());
+        };
+    }
+
     @Override
     public void cancelAttempt(String id, int attempt) {
         calls.get(id).attempts.get(attempt).cancelled = true;
--- a/balancer/src/test/java/gorsestack/decision/UpstreamSelectorTest.java
+++ b/balancer/src/test/java/gorsestack/decision/UpstreamSelectorTest.java
@@ -9,6 +9,8 @@
 import gorsestack.decision.EndpointUpdate.Kind;
 import gorsestack.decision.Settings.Scope;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 /** Tests of which upstream of a locality gets an attempt. */
@@ -35,7 +37,14 @@
         PolicySimulation simulation = new PolicySimulation(PolicySimulation.settings(1, 0, 1, false, Scope.ALL), 1);
         Endpoint[] entries = new Endpoint[300];
         for (int i = 0; i < entries.length; i++) {
-            entries[i] = new Endpoint("u" + i, EndpointState.READY, 0, 0, 1, i % 2 == 0 ? "slow" : "quick", "a");
+            entries[i] = new Endpoint(
+                    "u" + i,
+                    EndpointState.READY,
+                    0,
+                    OptionalInt.of(0),
+                    1,
+                    i % 2 == 0 ? "slow" : "quick",
+                    Optional.of("a"));
         }
         simulation.updateEndpoints(Kind.CACHED, entries);
         int toSlow = 0;
@@ -79,7 +88,8 @@
                         0,
                         MS),
                 1);
-        simulation.updateEndpoints(Kind.CACHED, new Endpoint("u0", EndpointState.READY, 0, 0, 0, "", "a"));
+        simulation.updateEndpoints(
+                Kind.CACHED, new Endpoint("u0", EndpointState.READY, 0, OptionalInt.of(0), 0, "", Optional.of("a")));
         assertTimeoutPreemptively(Duration.ofSeconds(5), () -> simulation.call("c", "once", 1000 * MS));
         assertEquals(1, simulation.calls.get("c").attempts.size());
     }
--- a/balancer/src/test/java/gorsestack/invariant/SendAuditTest.java
+++ b/balancer/src/test/java/gorsestack/invariant/SendAuditTest.java
@@ -8,6 +8,8 @@
 import gorsestack.decision.Settings.Product;
 import gorsestack.decision.Settings.Repeat;
 import gorsestack.decision.Settings.Scope;
+import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 /** Tests that each check reports its own violation and no other. */
@@ -49,7 +51,23 @@
     }
 
     private static Endpoint upstream(String zone, int cell) {
-        return new Endpoint("u" + zone + cell, EndpointState.READY, 0, cell, 1, "", zone);
+        return new Endpoint("u" + zone + cell, EndpointState.READY, 0, OptionalInt.of(cell), 1, "", Optional.of(zone));
+    }
+
+    /** Guards against a check that is silent about a retry because the upstream of an earlier attempt has left the list. */
+    @Test
+    void reportsRetryWhoseGroupIsUnknown() {
+        Endpoint known = upstream("a", 0);
+        Endpoint unknown = new Endpoint("u", EndpointState.READY, 0, OptionalInt.empty(), 1, "", Optional.empty());
+        for (Scope scope : new Scope[] {Scope.ZONE, Scope.CELL}) {
+            Product product = product(Repeat.DEDUPLICATED, scope);
+            for (Endpoint other : new Endpoint[] {unknown, null}) {
+                assertEquals("group_unknown", SendAudit.retryViolation(product, 4_000 * MS, 0, other, known));
+                assertEquals("group_unknown", SendAudit.retryViolation(product, 4_000 * MS, 0, known, other));
+                assertEquals("group_unknown", SendAudit.retryViolation(product, 4_000 * MS, 0, other, other));
+            }
+        }
+        assertNull(SendAudit.retryViolation(product(Repeat.DEDUPLICATED, Scope.ALL), 4_000 * MS, 0, null, null));
     }
 
     @Test
--- a/balancer/src/test/java/gorsestack/proxy/CallFixture.java
+++ b/balancer/src/test/java/gorsestack/proxy/CallFixture.java
@@ -1,6 +1,7 @@
 package gorsestack.proxy;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import gorsestack.decision.Endpoint;
 import gorsestack.settings.Limits;
 import gorsestack.wire.Channel;
 import gorsestack.wire.ClientConnection;
@@ -42,8 +43,13 @@
         return client;
     }
 
+    /** Returns an attempt without a deadline at an upstream with this list entry. */
+    UpstreamAttempt attempt(ActiveCall call, Endpoint sentTo) {
+        return new UpstreamAttempt(call, sentTo.id(), sentTo, now, Long.MAX_VALUE, Long.MAX_VALUE, this, this);
+    }
+
     UpstreamAttempt attempt(ActiveCall call, long deadline, long sendBy) {
-        return new UpstreamAttempt(call, "u", now, deadline, sendBy, this, this);
+        return new UpstreamAttempt(call, "u", null, now, deadline, sendBy, this, this);
     }
 
     /** Returns an object of this type whose methods do nothing; a channel is open while {@link #clientOpen} is true, and has sent nothing. */
--- a/balancer/src/test/java/gorsestack/proxy/DispatcherRig.java
+++ b/balancer/src/test/java/gorsestack/proxy/DispatcherRig.java
@@ -33,6 +33,8 @@
          "products":[{"name":"read","clientTimeout":3000,"latencySlo":1000,"semantics":"free"},
            {"name":"once","clientTimeout":3000,"latencySlo":1000,"semantics":"single_shot"},
            {"name":"mark","clientTimeout":3000,"latencySlo":1000,"semantics":"guarded","keyScope":"zone",
+            "repeatWindow":5000},
+           {"name":"mark-in-cell","clientTimeout":3000,"latencySlo":1000,"semantics":"guarded","keyScope":"cell",
             "repeatWindow":5000}]}""";
 
     final ManualEventLoop eventLoop = new ManualEventLoop(START_MILLIS);
--- a/balancer/src/test/java/gorsestack/proxy/EndpointCacheTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/EndpointCacheTest.java
@@ -11,6 +11,8 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 /** Tests that the cached list is complete, and that it is restored without ready upstreams that have no address. */
@@ -21,7 +23,7 @@
     private final EndpointCache cache = new EndpointCache();
 
     private static Endpoint endpoint(String id, EndpointState state) {
-        return new Endpoint(id, state, 5_000_000, 2, 1.5, "type", "a");
+        return new Endpoint(id, state, 5_000_000, OptionalInt.of(2), 1.5, "type", Optional.of("a"));
     }
 
     private void update(EndpointUpdate.Kind kind, Map<String, InetSocketAddress> addresses, Endpoint... endpoints) {
@@ -69,6 +71,17 @@
                 members().stream().map(PersistentState.StoredEndpoint::name).toList());
     }
 
+    /** An upstream of which discovery told neither zone nor cell must not come back as one of cell 0. */
+    @Test
+    void restoresAnUnknownZoneAndCellAsUnknown() {
+        Endpoint unknown =
+                new Endpoint("s1", EndpointState.READY, 5_000_000, OptionalInt.empty(), 1.5, "type", Optional.empty());
+        update(EndpointUpdate.Kind.SNAPSHOT, Map.of("s1", ADDRESS), unknown);
+        assertEquals(
+                List.of(unknown),
+                EndpointCache.watchEvent(cache.snapshot(DISCOVERY, 9)).update().endpoints());
+    }
+
     @Test
     void restoresAPersistedListAsACachedList() {
         Endpoint ready = endpoint("s1", EndpointState.READY);
--- a/balancer/src/test/java/gorsestack/proxy/HttpMessages.java
+++ b/balancer/src/test/java/gorsestack/proxy/HttpMessages.java
@@ -4,10 +4,10 @@
 final class HttpMessages {
     private HttpMessages() {}
 
-    /** Returns a request for one of the products "read", "once" and "mark" with two seconds of remaining time. */
+    /** Returns a request for one of the products of {@link DispatcherRig} with two seconds of remaining time. */
     static String request(String product, String id) {
         return (product.equals("read") ? "GET" : "POST") + " /" + product + " HTTP/1.1\r\nX-Correlation-Id: " + id
-                + "\r\nX-Time-Left: 2000m\r\n" + (product.equals("mark") ? "Idempotency-Key: k\r\n" : "")
+                + "\r\nX-Time-Left: 2000m\r\n" + (product.startsWith("mark") ? "Idempotency-Key: k\r\n" : "")
                 + (product.equals("read") ? "\r\n" : "Content-Length: 2\r\n\r\nhi");
     }
 
--- a/balancer/src/test/java/gorsestack/proxy/ReplacedUpstreamTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/ReplacedUpstreamTest.java
@@ -101,6 +101,71 @@
                 "one that drains is old");
     }
 
+    /**
+     * Guards against a deduplicated call that runs in two groups, or is not repeated at all: its upstream loses its entry while the call is
+     * under way there, and a message that removes an upstream may tell neither its zone nor its cell. The upstreams of the case are s1 and s2
+     * in zone "b" and cell 1, and s3 in zone "a" and cell 0.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "mark, DELTA, replaced",
+        "mark, DELTA, removed",
+        "mark, SNAPSHOT, replaced",
+        "mark, SNAPSHOT, removed",
+        "mark-in-cell, DELTA, replaced",
+        "mark-in-cell, DELTA, removed",
+        "mark-in-cell, SNAPSHOT, replaced",
+        "mark-in-cell, SNAPSHOT, removed",
+    })
+    void repeatsACallUnderWayWithinTheGroupOfItsFirstAttempt(String product, EndpointUpdate.Kind kind, String howItGoes)
+            throws IOException {
+        String first = entryInCell("s1", 1, "b", 1);
+        String second = entryInCell("s2", 2, "b", 1);
+        String otherGroup = entryInCell("s3", 3, "a", 0);
+        DispatcherRig rig = new DispatcherRig("{\"sockets\":1024}", first, second);
+        earnRetryBudget(rig);
+        rig.dispatcher.watchEvent(event(EndpointUpdate.Kind.DELTA, otherGroup));
+        rig.dispatcher.watchEvent(event(EndpointUpdate.Kind.DELTA, "{\"name\":\"s3\",\"status\":\"terminating\"}"));
+        rig.client().send(request(product, "c1"));
+        FakeSocket vanished = rig.lastUsed();
+        rig.dispatcher.watchEvent(event(EndpointUpdate.Kind.DELTA, otherGroup));
+        String gone = hostOf(vanished) == 1 ? "s1" : "s2";
+        String staying = hostOf(vanished) == 1 ? second : first;
+        String successor = howItGoes.equals("replaced")
+                ? entryInCell("s4", hostOf(vanished), "b", 1)
+                : "{\"name\":\"" + gone + "\",\"status\":\"terminated\"}";
+        rig.dispatcher.watchEvent(
+                kind == EndpointUpdate.Kind.DELTA
+                        ? event(kind, successor)
+                        : event(kind, staying, otherGroup, successor));
+        rig.advance(700);
+        List<FakeSocket> sentTo = rig.upstreamConnections().stream()
+                .filter(socket -> socket.output.contains("c1"))
+                .toList();
+        assertEquals(2, sentTo.size(), "the first attempt and one repeat");
+        assertTrue(sentTo.stream().allMatch(socket -> hostOf(socket) != 3), "no repeat in another group");
+    }
+
+    private static String entryInCell(String name, int host, String zone, int cell) {
+        return "{\"name\":\"" + name + "\",\"address\":\"127.0.1." + host + ":80\",\"zone\":\"" + zone + "\",\"group\":"
+                + cell + ",\"status\":\"in_service\"}";
+    }
+
+    private static int hostOf(FakeSocket socket) {
+        return socket.remoteAddress.getAddress().getAddress()[3];
+    }
+
+    /** Makes calls that are answered at once, which earns the budget of a hedged request. */
+    private static void earnRetryBudget(DispatcherRig rig) {
+        for (int i = 0; i < 40; i++) {
+            FakeSocket client = rig.client();
+            client.send(request("read", "w" + i));
+            rig.lastUsed().sendOk("x");
+            rig.advance(20);
+        }
+        rig.upstreamConnections().forEach(FakeSocket::takeOutput);
+    }
+
     /** Guards against a deduplicated call that is repeated at a process that does not know that it may have run. */
     @Test
     void repeatsADeduplicatedCallNotWhereTheConnectionWasLost() throws IOException {
--- a/balancer/src/test/java/gorsestack/proxy/StartTimesTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/StartTimesTest.java
@@ -7,6 +7,8 @@
 import gorsestack.decision.EndpointState;
 import gorsestack.decision.EndpointUpdate;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 /** Tests start times reported by a wall clock that is set by seconds or an hour, forwards or backwards. */
@@ -19,7 +21,7 @@
 
     private long convertedStart(
             EndpointUpdate.Kind form, String id, long reportedAt, long monotonicNow, long wallClock, long confirmedAt) {
-        Endpoint entry = new Endpoint(id, EndpointState.READY, reportedAt, 0, 1, "", "a");
+        Endpoint entry = new Endpoint(id, EndpointState.READY, reportedAt, OptionalInt.of(0), 1, "", Optional.of("a"));
         return times.onMonotonicClock(new EndpointUpdate(form, List.of(entry)), monotonicNow, wallClock, confirmedAt)
                 .endpoints()
                 .get(0)
--- a/balancer/src/test/java/gorsestack/recovery/SnapshotStoreTest.java
+++ b/balancer/src/test/java/gorsestack/recovery/SnapshotStoreTest.java
@@ -59,6 +59,19 @@
         return StateCodec.write(state);
     }
 
+    /** An unknown group is left out, so that an earlier version reads the file too, and is no group that a real upstream can have. */
+    @Test
+    void keepsAnUnknownGroupUnknown() {
+        PersistentState.EndpointSnapshot snapshot = new PersistentState.EndpointSnapshot(
+                41,
+                "127.0.0.1:8500",
+                NOW - 5,
+                List.of(new PersistentState.StoredEndpoint("s1", "127.0.0.1:80", "", "m", null, "in_service", 1, 7)));
+        String written = text(new PersistentState("n1", 7, NOW, Map.of(), List.of(), NOW, snapshot));
+        assertFalse(written.contains("group"), written);
+        assertEquals(snapshot, StateCodec.read(written).state().endpointSnapshot());
+    }
+
     @Test
     void readsStateThatItHasWritten() {
         PersistentState state = state(7, "s1", "é \n\"x\"")
--- a/balancer/src/test/java/gorsestack/server/MixedDeploymentsTest.java
+++ b/balancer/src/test/java/gorsestack/server/MixedDeploymentsTest.java
@@ -29,6 +29,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Semaphore;
@@ -134,7 +136,8 @@
             Map<String, InetSocketAddress> addresses = new ConcurrentHashMap<>();
             for (StandIn u : upstreams) {
                 String id = "u" + upstreams.indexOf(u);
-                entries.add(new Endpoint(id, entries.isEmpty() ? first : EndpointState.READY, 0, 0, 1, "", "a"));
+                EndpointState state = entries.isEmpty() ? first : EndpointState.READY;
+                entries.add(new Endpoint(id, state, 0, OptionalInt.of(0), 1, "", Optional.of("a")));
                 addresses.put(id, u.server.getAddress());
             }
             eventLoop.execute(() -> calls.watchEvent(
