--- a/balancer/src/main/java/gorsestack/decision/BalancingPolicy.java
+++ b/balancer/src/main/java/gorsestack/decision/BalancingPolicy.java
@@ -24,8 +24,6 @@
     private static final int DEADLINE_MARGIN_STEPS = 2;
     /** The upstream of an attempt is checked for responses after the latency objective divided by this number. */
     private static final int RESPONSE_CHECKS_PER_SLO = 2;
-    /** A success is late if its latency exceeds both the objective and this multiple of the locality's mean latency. */
-    private static final int LATE_PER_MEAN_LATENCY = 3;
 
     private record Rule(Predicate<CallState> applies, Consumer<CallState> action) {}
 
@@ -40,13 +38,14 @@
     /** This balancer's zone, then the other zones in the order of the settings, then upstreams of unknown zones. */
     private final Locality[] localities;
 
+    private final UpstreamIdentities identities;
     private final EndpointWatchSchedule watchSchedule;
     private final FleetMembership membership;
     private final HedgingPolicy hedging;
     private final RetryBudget retryBudget = new RetryBudget();
     private final OutlierDetector outliers;
     private final AdmissionControl admission;
-    private final LatencyEstimator latencies;
+    private final OutcomeLearning learning;
     private final LoadReports reports;
     private final UpstreamSelector selector;
 
@@ -82,8 +81,10 @@
         membership = new FleetMembership(settings, fleetQuota, upstreams, localities, outliers, random);
         hedging = new HedgingPolicy(settings.limits());
         admission = new AdmissionControl(settings, fleetQuota, localities, random);
-        latencies = new LatencyEstimator(settings.usesReports());
         reports = new LoadReports(settings, upstreams, outliers, random, actions);
+        LatencyEstimator latencies = new LatencyEstimator(settings.usesReports());
+        learning = new OutcomeLearning(outliers, retryBudget, reports, latencies);
+        identities = new UpstreamIdentities(upstreams, settings.rules());
         selector = new UpstreamSelector(
                 settings, fleetQuota, localities, admission, outliers, slowStart, random, reports.meanSlo());
         if (settings.watchesEndpoints()) {
@@ -210,7 +211,7 @@
         UpstreamState upstream = endedAttempt.upstream;
         upstream.inFlight -= countedAttempts;
         endedAttempt.locality.concurrency.trackInFlight(now, call.product, -countedAttempts);
-        learn(endedAttempt, call.product, outcome, duration);
+        learning.onOutcome(endedAttempt, call.product, outcome, duration, now);
         if (IdleConnectionPolicy.shouldClose(upstream, localities[0], selector.recentCalls())) {
             actions.closeIdleConnections(upstream.endpoint.id());
         }
@@ -222,29 +223,9 @@
         applyRules(call);
     }
 
-    /** Updates everything that is learned from an attempt that has ended. */
-    private void learn(CallAttempt attempt, Product product, Outcome outcome, long duration) {
-        UpstreamState upstream = attempt.upstream;
-        Locality locality = attempt.locality;
-        AdaptiveConcurrencyLimit concurrency = locality.concurrency;
-        double weight = LatencyEstimator.sampleWeight(upstream, product, now);
-        boolean late = duration > Math.max(1, LATE_PER_MEAN_LATENCY * concurrency.latencyRatio) * product.slo();
-        outliers.onOutcome(upstream, outcome, late, now);
-        if (outcome == Outcome.FULFILLED) {
-            retryBudget.onResponse();
-            locality.countResponse(now);
-        }
-        if (outcome == Outcome.TIMED_OUT) {
-            reports.onSilence(upstream, duration, now);
-        }
-        // The duration of an error is no response latency, and that of an attempt cut short is only a lower bound.
-        if (outcome == Outcome.FULFILLED || duration > concurrency.latencyRatio * product.slo()) {
-            concurrency.onLatency(now, product, duration);
-            latencies.onLatency(upstream, product, duration, weight);
-        } else if (outcome == Outcome.ERROR) {
-            latencies.onError(upstream, weight);
-        }
-        reports.onOutcome(upstream, product, outcome, duration, now);
+    /** Returns what is known about the processes of upstreams, to which the adapter reports what it sees of them. */
+    public UpstreamIdentities identities() {
+        return identities;
     }
 
     /** Handles an upstream's load report, before the outcome of the attempt that carried it. Malformed reports are ignored. */
--- a/balancer/src/main/java/gorsestack/decision/Endpoint.java
+++ b/balancer/src/main/java/gorsestack/decision/Endpoint.java
@@ -36,6 +36,11 @@
         return new Endpoint(id, EndpointState.GONE, startedAt, cell, weight, kind, zone);
     }
 
+    /** Returns a copy of this endpoint whose zone and cell are not known. */
+    Endpoint withoutPlacement() {
+        return new Endpoint(id, state, startedAt, OptionalInt.empty(), weight, kind, Optional.empty());
+    }
+
     /** Returns whether both upstreams are known to be in the same zone. */
     boolean sharesZoneWith(Endpoint other) {
         return zone.isPresent() && zone.equals(other.zone);
--- a/balancer/src/main/java/gorsestack/decision/FleetMembership.java
+++ b/balancer/src/main/java/gorsestack/decision/FleetMembership.java
@@ -76,6 +76,7 @@
         upstream.rotationCredit = random.next();
         place(upstream, endpoint);
         upstreams.update(upstream, endpoint);
+        upstream.identity.onListed(now);
         resetState(upstream, now);
         return upstream;
     }
@@ -91,6 +92,7 @@
         }
         upstreams.update(upstream, endpoint);
         if (moved || previous.startedAt() != endpoint.startedAt() || previous.state() == EndpointState.GONE) {
+            upstream.identity.onListed(now);
             resetState(upstream, now);
         }
         return upstream;
--- a/balancer/src/main/java/gorsestack/decision/RepeatSafety.java
+++ b/balancer/src/main/java/gorsestack/decision/RepeatSafety.java
@@ -20,11 +20,17 @@
                         && now - first.timedFrom < call.product.repeatWindow());
     }
 
-    /** Returns whether an attempt at this upstream is safe: a deduplicated call goes only where its repeat is recognized. */
+    /**
+     * Returns whether an attempt at this upstream is safe: a deduplicated call goes only where its repeat is recognized. Where that is a zone
+     * or a cell, the processes at both upstreams must be known to be the listed ones.
+     */
     static boolean isSafeAt(Product product, CallAttempt firstPossiblyExecuted, UpstreamState upstream) {
         if (firstPossiblyExecuted == null || product.repeat() == Repeat.IDEMPOTENT || product.scope() == Scope.ALL) {
             return true;
         }
+        if (!upstream.identity.isKnown()) {
+            return false;
+        }
         Endpoint first = firstPossiblyExecuted.sentTo;
         Endpoint next = upstream.endpoint;
         return product.scope() == Scope.ZONE ? first.sharesZoneWith(next) : first.sharesCellWith(next);
--- a/balancer/src/main/java/gorsestack/decision/UpstreamState.java
+++ b/balancer/src/main/java/gorsestack/decision/UpstreamState.java
@@ -9,6 +9,9 @@
     /** Number of the slot, which gives upstreams a stable order. */
     final int index;
 
+    /** What is known about the process at the upstream's address. */
+    final UpstreamIdentity identity = new UpstreamIdentity();
+
     Endpoint endpoint;
     Locality locality;
     UpstreamClass upstreamClass;
--- a/balancer/src/main/java/gorsestack/invariant/RejectionReason.java
+++ b/balancer/src/main/java/gorsestack/invariant/RejectionReason.java
@@ -16,7 +16,7 @@
     LEFT_UNANSWERED,
     /** The upstream read the call's large body too slowly: its client may have sent all of it and no longer waits. */
     BODY_HELD_BACK,
-    /** The upstream of a repeated attempt has ended connections since the first one, so another process may be at its address. */
+    /** Contact with the attempt's upstream was lost before its request was written, so another process may be at its address. */
     MAY_BE_REPLACED,
     /** The client's large upload is not read on, so that it may have disconnected without this being seen. */
     CLIENT_UNSEEN
--- a/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
+++ b/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
@@ -81,30 +81,14 @@
             eventLoop.execute(() -> attempt.ended(Outcome.NOT_SENT, null));
             return;
         }
-        RejectionReason rejection = attempt.clientUnseen()
-                ? RejectionReason.CLIENT_UNSEEN
-                : repeat == Settings.Repeat.DEDUPLICATED && mayBeReplaced(call, upstream)
-                        ? RejectionReason.MAY_BE_REPLACED
-                        : null;
-        if (rejection != null) {
-            invariants.rejected(rejection);
+        if (attempt.clientUnseen()) {
+            invariants.rejected(RejectionReason.CLIENT_UNSEEN);
             eventLoop.execute(() -> attempt.ended(Outcome.NOT_SENT, null));
             return;
         }
         send(attempt, repeat != Settings.Repeat.NON_IDEMPOTENT);
     }
 
-    /**
-     * Returns whether another process may listen at the upstream's address since an attempt of the call that may have executed. It would not
-     * recognise the duplicate, or belong to another group; the endpoint list tells so seconds later.
-     */
-    private boolean mayBeReplaced(ActiveCall call, String upstream) {
-        return call.attempts.stream()
-                .limit(call.attempts.size() - 1L)
-                .filter(UpstreamAttempt::mayHaveExecuted)
-                .anyMatch(earlier -> pool.lostConnectionSince(upstream, earlier.startedAt()));
-    }
-
     private void send(UpstreamAttempt attempt, boolean safelyRepeatable) {
         UpstreamConnection connection = pool.take(attempt.upstream, safelyRepeatable);
         trace.log(
@@ -173,6 +157,26 @@
         }
     }
 
+    /**
+     * Ends the attempts at an upstream whose requests are not written yet, if they were decided on for its zone or cell: contact with it was
+     * lost, and another process may accept their connections. Done as a separate task, as the connection that was lost may carry one.
+     */
+    void withdrawUnsent(String upstream) {
+        eventLoop.execute(() -> {
+            for (UpstreamAttempt attempt : List.copyOf(inFlight)) {
+                if (attempt.upstream.equals(upstream) && isForScope(attempt) && attempt.waitsToBeWritten()) {
+                    invariants.rejected(RejectionReason.MAY_BE_REPLACED);
+                    attempt.withdraw();
+                }
+            }
+        });
+    }
+
+    private boolean isForScope(UpstreamAttempt attempt) {
+        Settings.Product product = products.of(attempt.call.request());
+        return product.repeat() == Settings.Repeat.DEDUPLICATED && product.scope() != Settings.Scope.ALL;
+    }
+
     @Override
     public void onFinished(UpstreamAttempt attempt) {
         ActiveCall call = attempt.call;
--- a/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
+++ b/balancer/src/main/java/gorsestack/proxy/CallDispatcher.java
@@ -54,6 +54,7 @@
     private final CallTrace trace = new CallTrace();
     private final Invariants invariants = new Invariants();
     private final AttemptRunner attempts;
+    private final UpstreamContacts contacts;
     private final CallResponder responder;
     private final CallDeadlines deadlines;
     private final UploadEvents uploads;
@@ -91,6 +92,8 @@
         LoadReport loadReports = new LoadReport(settings.reports().columns());
         this.attempts = new AttemptRunner(
                 eventLoop, limits, clock, policy, pool, products, calls, this, invariants, auditor, trace, loadReports);
+        this.contacts = new UpstreamContacts(eventLoop, policy, attempts);
+        pool.setContacts(contacts);
         this.responder = new CallResponder(eventLoop, clock, calls, recovery, invariants, auditor, trace);
         this.deadlines = new CallDeadlines(eventLoop, limits, clock, products, policy, responder, invariants);
         this.uploads = new UploadEvents(calls, deadlines, attempts, policy, clock, settings.clockResolution());
@@ -388,6 +391,7 @@
     private void sweep() {
         eventLoop.at(eventLoop.now() + limits.call().sweepIntervalNanos(), this::sweep);
         pool.closeExpired();
+        contacts.listConfirmed(discovery);
         clients.sweep();
         attempts.logWithoutConnection(callsRejected);
         callsRejected = 0;
--- a/balancer/src/main/java/gorsestack/proxy/UpstreamConnectionPool.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamConnectionPool.java
@@ -55,9 +55,8 @@
     private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
 
     private final Map<String, Long> lastReceivedAt = new HashMap<>();
-    /** When a connection to each upstream was last ended by the upstream. */
-    private final Map<String, Long> lastLostAt = new HashMap<>();
 
+    private UpstreamContacts contacts;
     private int maxConnections;
     /** The time until which connections are reused only for safely repeatable requests. */
     private long reuseQuarantineUntil;
@@ -72,6 +71,11 @@
         maxConnections = limits.upstream().maxConnections();
     }
 
+    /** Sets what receives the signs of upstreams' processes; called before the first connection. */
+    void setContacts(UpstreamContacts receiver) {
+        contacts = receiver;
+    }
+
     void limitConnections(int max) {
         maxConnections = max;
     }
@@ -124,7 +128,6 @@
         noNewRequestsSince.putIfAbsent(upstream, eventLoop.now());
         draining.remove(upstream);
         lastReceivedAt.remove(upstream);
-        lastLostAt.remove(upstream);
         toBeClosed.add(upstream);
     }
 
@@ -273,10 +276,11 @@
     }
 
     @Override
-    public void bytesReceived(String upstream) {
-        if (addresses.containsKey(upstream)) {
-            lastReceivedAt.put(upstream, eventLoop.now());
+    public void bytesReceived(UpstreamConnection connection, long readAt) {
+        if (addresses.containsKey(connection.upstream)) {
+            lastReceivedAt.put(connection.upstream, eventLoop.now());
         }
+        contacts.bytesReceived(connection, readAt);
     }
 
     /** Returns whether any byte arrived from the upstream at {@code time} or later. */
@@ -285,15 +289,13 @@
     }
 
     @Override
-    public void connectionLost(String upstream) {
-        if (addresses.containsKey(upstream)) {
-            lastLostAt.put(upstream, eventLoop.now());
-        }
+    public void contactLost(UpstreamConnection connection) {
+        contacts.lost(connection);
     }
 
-    /** Returns whether the upstream has ended a connection at {@code time} or later. */
-    boolean lostConnectionSince(String upstream, long time) {
-        return lastLostAt.getOrDefault(upstream, Long.MIN_VALUE) >= time;
+    @Override
+    public void givenUpInSilence(UpstreamConnection connection, long since) {
+        contacts.givenUpInSilence(connection, since);
     }
 
     @Override
--- a/balancer/src/main/java/gorsestack/wire/HttpParser.java
+++ b/balancer/src/main/java/gorsestack/wire/HttpParser.java
@@ -121,9 +121,9 @@
         }
     }
 
-    /** Returns whether the message ended with the stream, so that no other one can follow on the connection. */
-    boolean endedWithStream() {
-        return endedWithStream;
+    /** Returns whether another message may follow the complete one on its connection. */
+    boolean connectionStaysOpen() {
+        return !endedWithStream && !head.hasToken("connection", "close") && !head.start[0].equals("HTTP/1.0");
     }
 
     private void countBody(int bytes) throws MalformedMessageException {
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -16,7 +16,10 @@
     public final InetSocketAddress address;
     /** Time at which the pool last took the connection back. */
     public long idleSince;
+    /** Time at which the connection was established; Long.MAX_VALUE before that. */
+    public long connectedAt = Long.MAX_VALUE;
 
+    private long connectingSince;
     private final Limits limits;
     private final EventLoop eventLoop;
     private final UpstreamConnectionOwner owner;
@@ -68,6 +71,7 @@
 
     /** Opens the connection. */
     public void connect(Network network) {
+        connectingSince = eventLoop.now();
         network.connect(address, this);
     }
 
@@ -129,6 +133,7 @@
     @Override
     public void opened(Channel opened) {
         channel = opened;
+        connectedAt = eventLoop.now();
         if (closed) {
             channel.close();
             owner.closed(this);
@@ -163,10 +168,10 @@
         if (closed) {
             return;
         }
-        owner.bytesReceived(upstream);
+        owner.bytesReceived(this, readAt);
         stallDetector.bytesReceived();
         silent = false;
-        if (!expectsBytes()) {
+        if (attempt == null && download == null) {
             owner.unexpectedBytes();
             close(); // No request asked for these bytes; a later attempt must not take them for its response.
             return;
@@ -184,11 +189,6 @@
         }
     }
 
-    /** Returns whether a response is awaited or being relayed. */
-    private boolean expectsBytes() {
-        return attempt != null || download != null;
-    }
-
     /** Relays a large response that arrives slowly: it is not known when it will be complete. */
     private void stopBuffering(AttemptListener buffered) {
         if (buffering.active() && attempt == buffered) {
@@ -224,11 +224,7 @@
         if (moreBytes) {
             owner.unexpectedBytes();
         }
-        if (!request.written()
-                || moreBytes
-                || parser.endedWithStream()
-                || head.hasToken("connection", "close")
-                || head.start[0].equals("HTTP/1.0")) {
+        if (!request.written() || moreBytes || !parser.connectionStaysOpen()) {
             close(); // Detaches the rest of the request's body too; the next attempt gets it from its first byte.
         } else {
             upload = null;
@@ -285,9 +281,12 @@
         if (connecting() && upload == null && owner.mayContinueConnecting(this)) {
             attempt = null;
             request.stopWaiting();
-        } else {
-            close();
+            return;
         }
+        if (attempt != null && silent && requestWritten()) {
+            owner.givenUpInSilence(this, request.firstByteAt());
+        }
+        close();
     }
 
     /** Closes the connection and gives up whatever it carries. Bytes that arrive later are discarded. */
@@ -333,6 +332,7 @@
     public void connectTimedOut() {
         if (connecting() && attempt != null) {
             AttemptListener timedOut = attempt;
+            owner.givenUpInSilence(this, connectingSince);
             giveUp();
             timedOut.ended(Outcome.UNREACHABLE, null);
         }
@@ -355,7 +355,7 @@
     @Override
     public void ended() {
         try {
-            if (!closed && expectsBytes()) {
+            if (!closed && (attempt != null || download != null)) {
                 parser.end();
                 if (parser.done()) {
                     responseComplete(false);
@@ -368,8 +368,8 @@
 
     @Override
     public void closed() {
-        if (!closed && channel != null) {
-            owner.connectionLost(upstream);
+        if (!closed) {
+            owner.contactLost(this);
         }
         if (!closed && attempt != null && reused && silent) {
             owner.reusedConnectionLost();
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnectionOwner.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnectionOwner.java
@@ -8,8 +8,8 @@
     /** Called when the connection has ended; may be called twice. */
     void closed(UpstreamConnection connection);
 
-    /** Called when bytes have arrived from this upstream. */
-    void bytesReceived(String upstream);
+    /** Called when bytes have arrived on the connection, which were read from its socket at {@code readAt}. */
+    void bytesReceived(UpstreamConnection connection, long readAt);
 
     /** Called when a reused connection ended while a request was under way and no byte of its response had arrived. */
     void reusedConnectionLost();
@@ -26,6 +26,9 @@
     /** Returns the budget for the memory that all large bodies share. */
     BufferBudget bufferBudget();
 
-    /** Called when the peer has ended an established connection, so that the next process at its address may be another one. */
-    default void connectionLost(String upstream) {}
+    /** Called when the peer has ended or refused the connection, so that the next process at its address may be another one. */
+    default void contactLost(UpstreamConnection connection) {}
+
+    /** Called when a request or a connect that began at {@code since} is given up and nothing has arrived on its connection. */
+    default void givenUpInSilence(UpstreamConnection connection, long since) {}
 }
--- a/balancer/src/test/java/gorsestack/proxy/ReplacedUpstreamTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/ReplacedUpstreamTest.java
@@ -19,6 +19,9 @@
 
 /** Tests that a new process at the address of one that has gone is not taken for the old one. */
 class ReplacedUpstreamTest {
+    /** Time after which a connection that has become idle is used again. */
+    private static final int STEP_MILLIS = 20;
+
     private final AddressOwners owners = new AddressOwners();
 
     private static String entry(String name, int host, String status, long since) {
@@ -146,6 +149,127 @@
         assertTrue(sentTo.stream().allMatch(socket -> hostOf(socket) != 3), "no repeat in another group");
     }
 
+    /**
+     * Guards against a deduplicated call that is repeated at a process of another group: its upstream's address had changed hands before the
+     * call came, and the list does not tell so yet. Contact is lost by an idle connection that ends, and by a connect that is refused.
+     */
+    @ParameterizedTest
+    @CsvSource({"mark, ended", "mark, refused", "mark-in-cell, ended", "mark-in-cell, refused"})
+    void repeatsNoCallWhereContactWasLostBeforeItCame(String product, String how) throws IOException {
+        DispatcherRig rig =
+                new DispatcherRig("{\"sockets\":1024}", entryInCell("s1", 1, "a", 1), entryInCell("s2", 2, "a", 1));
+        earnRetryBudget(rig);
+        FakeSocket lost = rig.upstreamConnections().get(0);
+        if (how.equals("ended")) {
+            lost.queueDisconnect();
+            rig.runPending();
+        } else {
+            refuseAConnect(rig, hostOf(lost));
+        }
+        assertEquals(1, upstreamsThatGotFailingCall(rig, product, "c1"), "no repeat at or after the one in doubt");
+        assertEquals(1, upstreamsThatGotFailingCall(rig, product, "c2"), "no repeat at or after the one in doubt");
+    }
+
+    /** The process is still there: it responds on a connection from before, or the list has named it for long enough. */
+    @ParameterizedTest
+    @CsvSource({"response", "list"})
+    void repeatsCallsAgainOnceTheUpstreamIsKnownToBeThere(String sign) throws IOException {
+        DispatcherRig rig = DispatcherRig.withWatch(2);
+        rig.sendWatchLine("{\"index\":42,\"snapshot\":true,\"endpoints\":[" + entryInCell("s1", 1, "a", 1) + ","
+                + entryInCell("s2", 2, "a", 1) + "]}");
+        earnRetryBudget(rig);
+        FakeSocket lost = rig.upstreamConnections().get(0);
+        if (sign.equals("response")) {
+            FakeSocket other = openSecondConnection(rig, hostOf(lost));
+            lost.queueDisconnect();
+            rig.runPending();
+            answerACallOn(rig, other);
+        } else {
+            lost.queueDisconnect();
+            for (int i = 0; i < 25; i++) {
+                rig.advance(1_000);
+                rig.sendWatchLine("");
+            }
+        }
+        assertEquals(2, upstreamsThatGotFailingCall(rig, "mark", "c1"));
+    }
+
+    /** Guards against a request that waits for a connection while contact with its upstream is lost, and reaches the successor. */
+    @Test
+    void withdrawsARequestThatWaitsForAConnectionWhenContactIsLost() throws IOException {
+        DispatcherRig rig =
+                new DispatcherRig("{\"sockets\":1024}", entryInCell("s1", 1, "a", 1), entryInCell("s2", 2, "a", 1));
+        earnRetryBudget(rig);
+        List<FakeSocket> established = rig.upstreamConnections();
+        established.forEach(socket -> rig.client().send(request("read", "busy" + hostOf(socket))));
+        rig.connectsAtOnce = false;
+        rig.client().send(request("mark", "c1"));
+        FakeSocket waiting = rig.lastUsed();
+        assertFalse(waiting.wasEstablished);
+        established.stream().filter(socket -> hostOf(socket) == hostOf(waiting)).forEach(FakeSocket::queueDisconnect);
+        rig.runPending();
+        waiting.connect();
+        assertEquals("", waiting.output);
+    }
+
+    /** Lets all connections time out, and makes calls until one needs a new connection to this host, which is refused. */
+    private static void refuseAConnect(DispatcherRig rig, int host) {
+        rig.advance(31_000);
+        rig.connectsAtOnce = false;
+        for (int i = 0; hostOf(rig.lastUsed()) != host || rig.lastUsed().wasEstablished; i++) {
+            rig.client().send(request("read", "refused" + i));
+        }
+        rig.lastUsed().queueDisconnect();
+        rig.connectsAtOnce = true;
+        rig.advance(1_000);
+        rig.upstreamConnections().forEach(FakeSocket::takeOutput);
+    }
+
+    /** Opens a second connection to this host and lets both respond; returns the second one. */
+    private static FakeSocket openSecondConnection(DispatcherRig rig, int host) {
+        for (int i = 0; connectionsTo(rig, host).size() < 2; i++) {
+            rig.client().send(request("read", "busy" + i));
+        }
+        rig.upstreamConnections().stream()
+                .filter(socket -> socket.output.contains("busy"))
+                .forEach(socket -> socket.sendOk("x"));
+        rig.advance(STEP_MILLIS);
+        return connectionsTo(rig, host).get(1);
+    }
+
+    private static List<FakeSocket> connectionsTo(DispatcherRig rig, int host) {
+        return rig.upstreamConnections().stream()
+                .filter(socket -> hostOf(socket) == host)
+                .toList();
+    }
+
+    /** Makes calls, which are answered at once, until one is answered on this connection. */
+    private static void answerACallOn(DispatcherRig rig, FakeSocket connection) {
+        FakeSocket answered;
+        do {
+            rig.client().send(request("read", "next"));
+            answered = rig.lastUsed();
+            answered.sendOk("x");
+            rig.advance(STEP_MILLIS);
+        } while (answered != connection);
+    }
+
+    /** Makes a call, fails each of its attempts, and returns how many upstreams have got it. */
+    private static long upstreamsThatGotFailingCall(DispatcherRig rig, String product, String id) {
+        rig.client().send(request(product, id));
+        for (int i = 0; i < 4; i++) {
+            if (rig.lastUsed().output.contains(id)) {
+                rig.lastUsed().send("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n");
+            }
+            rig.advance(100);
+        }
+        return rig.upstreamConnections().stream()
+                .filter(socket -> socket.output.contains(id))
+                .mapToInt(ReplacedUpstreamTest::hostOf)
+                .distinct()
+                .count();
+    }
+
     private static String entryInCell(String name, int host, String zone, int cell) {
         return "{\"name\":\"" + name + "\",\"address\":\"127.0.1." + host + ":80\",\"zone\":\"" + zone + "\",\"group\":"
                 + cell + ",\"status\":\"in_service\"}";
@@ -161,7 +285,7 @@
             FakeSocket client = rig.client();
             client.send(request("read", "w" + i));
             rig.lastUsed().sendOk("x");
-            rig.advance(20);
+            rig.advance(STEP_MILLIS);
         }
         rig.upstreamConnections().forEach(FakeSocket::takeOutput);
     }
--- a/balancer/src/test/java/gorsestack/proxy/UpstreamReplacementOrderTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/UpstreamReplacementOrderTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -58,6 +59,12 @@
         WHOLE_LIST
     }
 
+    /** Whether connections to the upstreams are open at the start. */
+    private enum Start {
+        CONNECTED,
+        UNCONNECTED
+    }
+
     /** What has happened so far, by which the next events are chosen. */
     private static final class History {
         int calls;
@@ -304,54 +311,85 @@
         DISCOVERY_LOG.setLevel(null);
     }
 
-    private final String[] starts = {"connected", "unconnected"};
-    private int played;
+    /** Plays the orders over some of the events, and counts those that fail. */
+    private static final class Plays {
+        private final String product;
+        private final Group successorGroup;
+        private final Set<Event> events;
+        private final Set<Start> starts;
+        private final List<String> failures = new ArrayList<>();
+        private int played;
 
-    /** The successor belongs to the group of its predecessor, so that only the list's messages can mislead. */
-    @ParameterizedTest
-    @CsvSource({"mark", "mark-in-cell"})
-    void runsNoCallInTwoGroupsWhenTheSuccessorIsOfTheSameGroup(String product) {
-        List<String> failures = new ArrayList<>();
-        playAll(product, Group.FIRST, new ArrayList<>(), failures);
-        System.err.println("replacement orders of " + LENGTH + " events, " + product + ": " + played + " played, "
-                + failures.size() + " failed");
-        assertEquals(List.of(), failures.stream().limit(5).toList(), failures.size() + " of " + played);
-        assertTrue(played > 0);
-    }
+        Plays(String product, Group successorGroup, Set<Event> events, Set<Start> starts) {
+            this.product = product;
+            this.successorGroup = successorGroup;
+            this.events = events;
+            this.starts = starts;
+        }
 
-    private void playAll(String product, Group successorGroup, List<Event> sequence, List<String> failures) {
-        if (sequence.size() == LENGTH) {
-            play(product, successorGroup, sequence, failures);
-            return;
+        void assertNoFailure() {
+            playAll(new ArrayList<>());
+            System.err.println("replacement orders of " + LENGTH + " events, " + product + ", successor in group "
+                    + successorGroup + ", " + starts + ": " + played + " played, " + failures.size() + " failed");
+            assertTrue(played > 0);
+            assertEquals(List.of(), failures.stream().limit(5).toList(), failures.size() + " of " + played);
         }
-        History history = new History();
-        sequence.forEach(history::add);
-        for (Event event : Event.values()) {
-            if (history.allows(event)) {
-                sequence.add(event);
-                playAll(product, successorGroup, sequence, failures);
-                sequence.remove(sequence.size() - 1);
+
+        private void playAll(List<Event> sequence) {
+            if (sequence.size() == LENGTH) {
+                play(sequence);
+                return;
+            }
+            History history = new History();
+            sequence.forEach(history::add);
+            for (Event event : events) {
+                if (history.allows(event)) {
+                    sequence.add(event);
+                    playAll(sequence);
+                    sequence.remove(sequence.size() - 1);
+                }
             }
         }
-    }
 
-    /** Plays a sequence with and without open connections, and with each upstream as the one that the rotation has come to. */
-    private void play(String product, Group successorGroup, List<Event> sequence, List<String> failures) {
-        for (String start : starts) {
-            for (int offset = 0; offset < 3; offset++) {
-                String failure = playOne(product, successorGroup, start, offset, sequence);
-                played++;
-                if (failure != null) {
-                    failures.add(sequence + ", " + start + ", offset " + offset + ": " + failure);
+        /** Plays a sequence from each start, and with each upstream as the one that the rotation has come to. */
+        private void play(List<Event> sequence) {
+            for (Start start : starts) {
+                for (int offset = 0; offset < 3; offset++) {
+                    String failure = playOne(product, successorGroup, start, offset, sequence);
+                    played++;
+                    if (failure != null) {
+                        failures.add(sequence + ", " + start + ", offset " + offset + ": " + failure);
+                    }
                 }
             }
         }
     }
 
-    private static String playOne(
-            String product, Group successorGroup, String start, int offset, List<Event> sequence) {
+    /** The successor belongs to the group of its predecessor, so that only the list's messages can mislead. */
+    @ParameterizedTest
+    @CsvSource({"mark", "mark-in-cell"})
+    void runsNoCallInTwoGroupsWhenTheSuccessorIsOfTheSameGroup(String product) {
+        new Plays(product, Group.FIRST, EnumSet.allOf(Event.class), EnumSet.allOf(Start.class)).assertNoFailure();
+    }
+
+    /** The successor belongs to another group, and takes calls before the list tells of it; connections were lost when its predecessor died. */
+    @ParameterizedTest
+    @CsvSource({"mark", "mark-in-cell"})
+    void runsNoCallInTwoGroupsWhenConnectionsToThePredecessorWereLost(String product) {
+        Set<Event> events = EnumSet.complementOf(EnumSet.of(Event.VANISHES));
+        new Plays(product, Group.OTHER, events, EnumSet.of(Start.CONNECTED)).assertNoFailure();
+    }
+
+    /** The same if nothing tells of the replacement: no connection was open, or the predecessor has vanished and its connections stay open. */
+    @ParameterizedTest
+    @CsvSource({"mark", "mark-in-cell"})
+    void runsNoCallInTwoGroupsWhenNothingTellsOfTheReplacement(String product) {
+        new Plays(product, Group.OTHER, EnumSet.allOf(Event.class), EnumSet.allOf(Start.class)).assertNoFailure();
+    }
+
+    private static String playOne(String product, Group successorGroup, Start start, int offset, List<Event> sequence) {
         try {
-            World world = new World(product, successorGroup, start.equals("connected"), EARNING_CALLS + offset);
+            World world = new World(product, successorGroup, start == Start.CONNECTED, EARNING_CALLS + offset);
             for (Event event : sequence) {
                 world.apply(event);
                 if (world.failure() != null) {
--- a/balancer/src/test/java/gorsestack/wire/UpstreamConnectionStatesTest.java
+++ b/balancer/src/test/java/gorsestack/wire/UpstreamConnectionStatesTest.java
@@ -48,7 +48,7 @@
         public void closed(UpstreamConnection connection) {}
 
         @Override
-        public void bytesReceived(String upstream) {}
+        public void bytesReceived(UpstreamConnection connection, long readAt) {}
 
         @Override
         public void reusedConnectionLost() {}
