An entry without a zone neither moves an upstream nor ends its doubt

Cause: since an entry in another zone than before moves its upstream and counts as a new listing, and an entry that tells no zone was taken for one: the upstream lost what was learned of it, and one in doubt was taken for known again. Found by reading.

Change: only a zone that is told moves an upstream, and only a new start or a listing after a removal says that its process is the listed one.

Evidence: FleetMembershipTest.keepsLocalityAndDoubtOfUpstreamWhoseEntry... failed before and passes now; the digests of DecisionTraceTest are unchanged.

--- a/balancer/src/main/java/gorsestack/decision/FleetMembership.java
+++ b/balancer/src/main/java/gorsestack/decision/FleetMembership.java
@@ -86,13 +86,16 @@
         Endpoint previous = upstream.endpoint;
         // What was known of a removed upstream stays: the message that removes it may hold nothing but its id.
         Endpoint endpoint = listed.state() == EndpointState.GONE ? previous.removed() : listed;
-        boolean moved = !previous.zone().equals(endpoint.zone());
+        boolean moved = endpoint.zone().isPresent() && settings.localityOf(endpoint.zone()) != upstream.locality.index;
+        boolean restarted = previous.startedAt() != endpoint.startedAt() || previous.state() == EndpointState.GONE;
         if (moved) {
             place(upstream, endpoint);
         }
         upstreams.update(upstream, endpoint);
-        if (moved || previous.startedAt() != endpoint.startedAt() || previous.state() == EndpointState.GONE) {
+        if (restarted) {
             upstream.identity.onListed(now);
+        }
+        if (restarted || moved) {
             resetState(upstream, now);
         }
         return upstream;
--- a/balancer/src/test/java/gorsestack/decision/FleetMembershipTest.java
+++ b/balancer/src/test/java/gorsestack/decision/FleetMembershipTest.java
@@ -4,12 +4,16 @@
 import static gorsestack.decision.PolicySimulation.entry;
 import static gorsestack.decision.PolicySimulation.withSixUpstreams;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gorsestack.decision.EndpointUpdate.Kind;
 import gorsestack.decision.Settings.Scope;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.IntSupplier;
 import org.junit.jupiter.api.Test;
 
@@ -48,6 +52,23 @@
         assertEquals(0, upstream.locality.concurrency.inFlight);
     }
 
+    /** An entry that tells no zone neither moves the upstream nor says that its process is the listed one. */
+    @Test
+    void keepsLocalityAndDoubtOfUpstreamWhoseEntryTellsNoZone() {
+        PolicySimulation simulation = withSixUpstreams(PolicySimulation.settings(1, 0, 2, false, Scope.ALL), 1);
+        UpstreamState upstream = simulation.policy.upstreams.find("u0");
+        Locality before = upstream.locality;
+        simulation.policy.identities().onContactLost("u0", simulation.now);
+        simulation.updateEndpoints(
+                Kind.DELTA,
+                new Endpoint("u0", EndpointState.DRAINING, 0, OptionalInt.empty(), 1, "", Optional.empty()));
+        simulation.updateEndpoints(Kind.DELTA, entry("u0", EndpointState.READY, 0, 0, "a"));
+        assertSame(before, upstream.locality);
+        assertFalse(upstream.identity.isKnown());
+        simulation.updateEndpoints(Kind.DELTA, entry("u0", EndpointState.READY, 5, 0, "a"));
+        assertTrue(upstream.identity.isKnown(), "it has restarted");
+    }
+
     /**
      * Discovery may list an upstream that is in maintenance, also with a new start time or, after it was removed, in another
      * slot. Maintenance has to hold in each of these cases.
