An upload under way goes on when another connection of its upstream is lost

Cause: since losing contact with an upstream withdrew all deduplicated requests that were not written to their end, so an upload on a live connection was cut when an idle connection to the same upstream ended, and failed, as it can't be sent again. Found by reading.

Change: only requests that wait for their connection are withdrawn (UpstreamAttempt.waitsForConnection), as another process may accept those.

Evidence: ReplacedUpstreamTest.keepsAnUploadUnderWayWhenAnother... failed before and passes now; withdrawsARequestThatWaitsForAConnection... still passes.

--- a/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
+++ b/balancer/src/main/java/gorsestack/proxy/AttemptRunner.java
@@ -158,13 +158,13 @@
     }
 
     /**
-     * Ends the attempts at an upstream whose requests are not written yet, if they were decided on for its zone or cell: contact with it was
-     * lost, and another process may accept their connections. Done as a separate task, as the connection that was lost may carry one.
+     * Ends the attempts at an upstream that wait for their connections, if they were decided on for its zone or cell: contact with it was
+     * lost, and another process may accept them. Done as a separate task, as the connection that was lost may carry one.
      */
-    void withdrawUnsent(String upstream) {
+    void withdrawConnecting(String upstream) {
         eventLoop.execute(() -> {
             for (UpstreamAttempt attempt : List.copyOf(inFlight)) {
-                if (attempt.upstream.equals(upstream) && isForScope(attempt) && attempt.waitsToBeWritten()) {
+                if (attempt.upstream.equals(upstream) && isForScope(attempt) && attempt.waitsForConnection()) {
                     invariants.rejected(RejectionReason.MAY_BE_REPLACED);
                     attempt.withdraw();
                 }
--- a/balancer/src/main/java/gorsestack/proxy/UpstreamAttempt.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamAttempt.java
@@ -118,6 +118,11 @@
         return !isFinished() && connection != null && !connection.requestWritten();
     }
 
+    /** Returns whether the connection to which the request was given is not established yet. */
+    boolean waitsForConnection() {
+        return !isFinished() && connection != null && connection.connecting();
+    }
+
     /** Gives up the connection of an attempt whose request is not known to be sent, and ends the attempt. */
     void withdraw() {
         Outcome withdrawn = connection.withdrawnOutcome();
--- a/balancer/src/main/java/gorsestack/proxy/UpstreamContacts.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamContacts.java
@@ -29,7 +29,7 @@
     /** Handles that the upstream has ended or refused a connection. */
     void lost(UpstreamConnection connection) {
         policy.identities().onContactLost(connection.upstream, eventLoop.now());
-        attempts.withdrawUnsent(connection.upstream);
+        attempts.withdrawConnecting(connection.upstream);
     }
 
     /** Handles that a request or a connect that began at {@code since} is given up and nothing has arrived on its connection. */
--- a/balancer/src/test/java/gorsestack/proxy/ReplacedUpstreamTest.java
+++ b/balancer/src/test/java/gorsestack/proxy/ReplacedUpstreamTest.java
@@ -212,6 +212,25 @@
         assertEquals("", waiting.output);
     }
 
+    /** An upload that is under way on its own connection goes on: it cannot be sent again. */
+    @Test
+    void keepsAnUploadUnderWayWhenAnotherConnectionIsLost() throws IOException {
+        DispatcherRig rig = DispatcherRig.withUpstreams(1);
+        earnRetryBudget(rig);
+        FakeSocket idle = rig.lastUsed();
+        rig.client().send(request("read", "busy"));
+        FakeSocket client = rig.client();
+        client.sendInReads("POST /mark HTTP/1.1\r\nX-Correlation-Id: c1\r\nX-Time-Left: 2000m\r\nIdempotency-Key: k\r\n"
+                + "Content-Length: 400000\r\n\r\n" + "x".repeat(200_000));
+        FakeSocket upload = rig.lastUsed();
+        assertTrue(upload.output.contains("c1"));
+        assertNotSame(idle, upload);
+        idle.queueDisconnect();
+        rig.runPending();
+        assertTrue(upload.open());
+        assertEquals("", client.output);
+    }
+
     /** Lets all connections time out, and makes calls until one needs a new connection to this host, which is refused. */
     private static void refuseAConnect(DispatcherRig rig, int host) {
         rig.advance(31_000);
