Only ended and refused connections put an upstream in doubt, and for half as long

Suspected, not traced: repeats within a zone or cell that were refused because of such signs.

Change: a request or a connect that is given up in silence is no sign any more. A list that discovery confirms ends the doubt after one watch deadline in place of two: its confirmation already covers the delivery.

--- a/balancer/src/main/java/gorsestack/decision/UpstreamIdentities.java
+++ b/balancer/src/main/java/gorsestack/decision/UpstreamIdentities.java
@@ -6,18 +6,13 @@
  * nanoseconds of the clock of the policy.
  */
 public final class UpstreamIdentities {
-    /**
-     * Number of watch deadlines after which the list would no longer name an upstream that has ended: one for discovery to notice the end
-     * and one to deliver the change.
-     */
-    private static final int SETTLING_WATCH_DEADLINES = 2;
-
     private final UpstreamTable upstreams;
+    /** The time after which a list that discovery confirms no longer names an upstream that has ended, in nanoseconds. */
     private final long settlingTime;
 
     UpstreamIdentities(UpstreamTable upstreams, Settings.Rules rules) {
         this.upstreams = upstreams;
-        settlingTime = SETTLING_WATCH_DEADLINES * rules.watchDeadline();
+        settlingTime = rules.watchDeadline();
     }
 
     /** Handles bytes from an upstream on a connection that was established at {@code connectedAt}. */
@@ -36,14 +31,6 @@
         }
     }
 
-    /** Handles that a request or a connect that began at {@code since} is given up and nothing has arrived on its connection. */
-    public void onSilence(String upstream, long since, long now) {
-        UpstreamState state = upstreams.find(upstream);
-        if (state != null) {
-            state.identity.onSilence(since, now);
-        }
-    }
-
     /** Handles that discovery has confirmed the list in use at a time; 0 if it never has. */
     public void onListConfirmed(long confirmedAt) {
         for (UpstreamState upstream : upstreams.slots()) {
--- a/balancer/src/main/java/gorsestack/decision/UpstreamIdentity.java
+++ b/balancer/src/main/java/gorsestack/decision/UpstreamIdentity.java
@@ -45,7 +45,7 @@
         knownUntil = now;
     }
 
-    /** Handles that the upstream has ended a connection, or that none can be established, or that it responds to nothing. */
+    /** Handles that the upstream has ended a connection, or has refused one. */
     void onContactLost(long now) {
         state = State.IN_DOUBT;
         contactLostAt = now;
@@ -61,13 +61,6 @@
         }
     }
 
-    /** Handles that the process has responded to nothing since a time, on any connection. */
-    void onSilence(long since, long now) {
-        if (isKnown() && knownUntil < since) {
-            onContactLost(now);
-        }
-    }
-
     /** Handles that discovery has confirmed the list at a time: after {@code settlingTime} it would not name an upstream that has ended. */
     void onListConfirmed(long confirmedAt, long settlingTime) {
         if (state == State.IN_DOUBT && confirmedAt - contactLostAt >= settlingTime) {
--- a/balancer/src/main/java/gorsestack/proxy/UpstreamConnectionPool.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamConnectionPool.java
@@ -293,11 +293,6 @@
         contacts.lost(connection);
     }
 
-    @Override
-    public void givenUpInSilence(UpstreamConnection connection, long since) {
-        contacts.givenUpInSilence(connection, since);
-    }
-
     @Override
     public BufferBudget bufferBudget() {
         return bufferBudget;
--- a/balancer/src/main/java/gorsestack/proxy/UpstreamContacts.java
+++ b/balancer/src/main/java/gorsestack/proxy/UpstreamContacts.java
@@ -32,11 +32,6 @@
         attempts.withdrawConnecting(connection.upstream);
     }
 
-    /** Handles that a request or a connect that began at {@code since} is given up and nothing has arrived on its connection. */
-    void givenUpInSilence(UpstreamConnection connection, long since) {
-        policy.identities().onSilence(connection.upstream, since, eventLoop.now());
-    }
-
     /** Handles that discovery has confirmed the list, as of the last line of its watch. */
     void listConfirmed(DiscoveryWatch discovery) {
         policy.identities().onListConfirmed(discovery.confirmedAt());
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnection.java
@@ -19,7 +19,6 @@
     /** Time at which the connection was established; Long.MAX_VALUE before that. */
     public long connectedAt = Long.MAX_VALUE;
 
-    private long connectingSince;
     private final Limits limits;
     private final EventLoop eventLoop;
     private final UpstreamConnectionOwner owner;
@@ -71,7 +70,6 @@
 
     /** Opens the connection. */
     public void connect(Network network) {
-        connectingSince = eventLoop.now();
         network.connect(address, this);
     }
 
@@ -281,12 +279,9 @@
         if (connecting() && upload == null && owner.mayContinueConnecting(this)) {
             attempt = null;
             request.stopWaiting();
-            return;
-        }
-        if (attempt != null && silent && requestWritten()) {
-            owner.givenUpInSilence(this, request.firstByteAt());
+        } else {
+            close();
         }
-        close();
     }
 
     /** Closes the connection and gives up whatever it carries. Bytes that arrive later are discarded. */
@@ -332,7 +327,6 @@
     public void connectTimedOut() {
         if (connecting() && attempt != null) {
             AttemptListener timedOut = attempt;
-            owner.givenUpInSilence(this, connectingSince);
             giveUp();
             timedOut.ended(Outcome.UNREACHABLE, null);
         }
--- a/balancer/src/main/java/gorsestack/wire/UpstreamConnectionOwner.java
+++ b/balancer/src/main/java/gorsestack/wire/UpstreamConnectionOwner.java
@@ -28,7 +28,4 @@
 
     /** Called when the peer has ended or refused the connection, so that the next process at its address may be another one. */
     default void contactLost(UpstreamConnection connection) {}
-
-    /** Called when a request or a connect that began at {@code since} is given up and nothing has arrived on its connection. */
-    default void givenUpInSilence(UpstreamConnection connection, long since) {}
 }
